--- /dev/null
+++ b/src/main/java/cobaltseam/adapter/DeploymentReader.java
@@ -0,0 +1,87 @@
+package cobaltseam.adapter;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import cobaltseam.dispatch.Deployment;
+import cobaltseam.dispatch.KindId;
+import cobaltseam.dispatch.LocationId;
+import cobaltseam.dispatch.ProfileId;
+import cobaltseam.dispatch.ShareId;
+import cobaltseam.dispatch.Span;
+
+/** Turns the wire's start-up parameters into what a dispatcher is told of its deployment. */
+final class DeploymentReader {
+    private DeploymentReader() {
+    }
+
+    static Deployment read(Fields told) {
+        Fields family = told.object("family_info");
+        List<Double> threads = family.numbers("width_by_class");
+        List<Deployment.Profile> profiles = new ArrayList<>();
+        for (Fields f : told.objects("classes")) {
+            int index = profiles.size();
+            profiles.add(profile(f, index < threads.size() ? threads.get(index).intValue() : 1));
+        }
+        List<Double> cores = family.numbers("cores_by_kind");
+        List<Double> memory = family.numbers("ram_of_kind_mb");
+        List<Deployment.Kind> kinds = new ArrayList<>();
+        for (String kind : told.texts("machine_types")) {
+            int index = kinds.size();
+            kinds.add(new Deployment.Kind(new KindId(kind), index < cores.size() ? cores.get(index) : 1,
+                    index < memory.size() ? memory.get(index) : 0));
+        }
+        List<Deployment.Share> shares = new ArrayList<>();
+        if (told.has("projects")) {
+            for (Fields f : told.objects("projects")) {
+                shares.add(new Deployment.Share(new ShareId(f.text("name")), f.number("quota_rps", 0)));
+            }
+        }
+        return new Deployment((int) told.whole("position"), (int) told.whole("balancers"), profiles, kinds,
+                shares, told.number("over_share_worth", 1), rules(told.object("rules")),
+                means(told, told.object("limits"), family));
+    }
+
+    private static Deployment.Profile profile(Fields f, int threads) {
+        String repeat = f.text("repeat");
+        String scope = f.text("key_scope", "all");
+        return new Deployment.Profile(new ProfileId(f.text("name")), threads, f.number("importance", 1),
+                f.number("late_value", 0), span(f, "aim_us"), f.number("aim_stretch", 0),
+                span(f, "hard_limit_us"),
+                switch (repeat) {
+                    case "read_like" -> Deployment.Repeat.REPLAYABLE;
+                    case "idempotency_key" -> Deployment.Repeat.UNIQUED;
+                    case "non_idempotent" -> Deployment.Repeat.NON_REPLAYABLE;
+                    default -> throw new BadInput("classes: unknown 'repeat' " + repeat);
+                },
+                switch (scope) {
+                    case "all" -> Deployment.Scope.ALL;
+                    case "zone" -> Deployment.Scope.LOCATION;
+                    case "cell" -> Deployment.Scope.GROUP;
+                    default -> throw new BadInput("classes: unknown 'key_scope' " + scope);
+                },
+                new Span(f.whole("window_us", 0)), f.flag("in_order"),
+                f.has("confined_to") ? f.texts("confined_to").stream().map(LocationId::new).toList() : null,
+                f.has("runs_on") ? f.texts("runs_on").stream().map(KindId::new).toList() : null);
+    }
+
+    private static Deployment.Rules rules(Fields f) {
+        return new Deployment.Rules(f.number("cold_from", 1), new Span(f.whole("warm_within_us", 0)),
+                f.number("fall_multiple", 1), new Span(f.whole("overload_for_us", 0)),
+                new Span(f.whole("key_rest_us", 0)),
+                f.has("counted_over_us") ? f.number("spare_attempts", 0) : null,
+                f.has("counted_over_us") ? f.number("repeat_ratio", 0) : null,
+                f.has("counted_over_us") ? span(f, "counted_over_us") : null);
+    }
+
+    private static Deployment.Means means(Fields told, Fields limits, Fields family) {
+        return new Deployment.Means(span(told, "tick_us"), (int) limits.whole("most_tries", 1),
+                limits.flag("probes"), limits.flag("cancel"), family.flag("takes_grants"),
+                family.flag("ranks_heeded"), family.number("grant_cap", 1), limits.flag("retry_after"),
+                new Span(limits.whole("max_retry_after_us", 0)));
+    }
+
+    private static Span span(Fields f, String name) {
+        return new Span(f.whole(name));
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltseam/dispatch/CommandId.java
@@ -0,0 +1,5 @@
+package cobaltseam.dispatch;
+
+/** Names the caller's name for one command. */
+public record CommandId(String value) {
+}
--- /dev/null
+++ b/src/main/java/cobaltseam/dispatch/Deployment.java
@@ -0,0 +1,42 @@
+package cobaltseam.dispatch;
+
+import java.util.List;
+
+/** What a dispatcher is told of its deployment when it starts; absent figures are null. */
+public record Deployment(int number, int dispatchers, List<Profile> profiles, List<Kind> kinds,
+                         List<Share> shares, double overShareWorth, Rules rules, Means means) {
+
+    /** How often a command may run. */
+    public enum Repeat { REPLAYABLE, UNIQUED, NON_REPLAYABLE }
+
+    /** The engines that drop repeats of a uniqued command. */
+    public enum Scope { ALL, LOCATION, GROUP }
+
+    /**
+     * A class of commands. The latency target grows by {@code stretch} times the work over the
+     * threads. Null locations or kinds mean any.
+     */
+    public record Profile(ProfileId id, int threads, double benefit, double lateBenefit,
+                          Span latencyTarget, double stretch, Span clientTimeout, Repeat repeat,
+                          Scope scope, Span remembered, boolean inOrder,
+                          List<LocationId> locations, List<KindId> onKinds) {
+    }
+
+    /** A kind of machine. */
+    public record Kind(KindId id, double cores, double memoryMb) {
+    }
+
+    /** One holder's part of the service; the rate counts all dispatchers. */
+    public record Share(ShareId id, double perSecond) {
+    }
+
+    /** The figures of the rules. */
+    public record Rules(double coldFrom, Span warmWithin, double fallMultiple, Span fallWindow,
+                        Span keyRest, Double furtherFree, Double furtherRatio, Span furtherWindow) {
+    }
+
+    /** What a dispatcher may do here, and how fine its clock is. */
+    public record Means(Span tick, int mostSends, boolean probes, boolean cancels, boolean grants,
+                        boolean priorities, double grantCap, boolean comeBack, Span longestComeBack) {
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -0,0 +1,804 @@
+package cobaltseam.dispatch;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.random.RandomGenerator;
+
+import cobaltseam.dispatch.Deployment.Profile;
+import cobaltseam.dispatch.Deployment.Repeat;
+import cobaltseam.dispatch.Deployment.Scope;
+import cobaltseam.dispatch.Listing.Standing;
+import cobaltseam.dispatch.Outcome.Ending;
+
+/**
+ * All decisions of one dispatcher. Callers hand a new command to {@link #place}, each outcome to
+ * {@link #after}, and after every call follow {@link #pause} until it names a span to wait; other
+ * news comes by {@link #listed} and {@link #departed}. The values that pass are the records beside
+ * this file. An instance knows only its own traffic and shares nothing.
+ *
+ * <p>The ordinary path: each engine has a thread budget of two threads a core, split evenly over the
+ * dispatchers. A command goes where most budget is left per core and waits, first come first served,
+ * where none has room for its threads. While a profile's answers from an engine come at usual speed,
+ * the budget there reaches up to the engine's whole figure.
+ */
+public final class Dispatcher {
+    /** The design's figure: threads an engine is given for each of its cores. */
+    private static final double THREADS_PER_CORE = 2;
+    /** Answers up to this multiple of the usual latency let a dispatcher borrow the whole figure. */
+    private static final double NEAR = 1.5;
+    /** From this multiple of the usual latency on nothing is borrowed; in between, a part. */
+    private static final double SLOW = 3;
+    /** How much one answer moves an engine's remembered slowness or failures. */
+    private static final double NEWS = 1.0 / 8;
+    /** The usual latency of a profile is this quantile of its answers, followed in steps of USUAL_STEP. */
+    private static final double USUAL_QUANTILE = 0.3;
+    private static final double USUAL_STEP = 1.0 / 16;
+    /** A ratio of latencies beyond this is not told from a larger one. */
+    private static final double WORST_RATIO = 16;
+    /** A send may take this many times its expected latency before it is given up for another. */
+    private static final double PATIENCE = 3;
+    /** Past its latency target by this ratio a send without late benefit is of no more use. */
+    private static final double TARGET_SLACK = 1.25;
+    /** The shortest latency target over these: time between redraws, time after which evidence halves. */
+    private static final double DRAWS_PER_TARGET = 8;
+    private static final double FADE_IN_TARGETS = 4;
+    /** The backlog may stand for this part of the shortest latency target before commands are shed. */
+    private static final double BACKLOG_PER_TARGET = 0.5;
+    /** A cold engine is taken to do this part of one thread's work a core, times what it starts from. */
+    private static final double CAPACITY_PER_CORE = 0.6;
+
+    // ---- state that lives as long as the instance
+
+    private final int number;
+    private final int dispatchers;
+    private final int mostSends;
+    private final boolean cancels;
+    private final boolean priorities;
+    private final Span margin;
+    private final Span shortestTarget;
+    private final Span longestComeBack;
+    private final double overShareWorth;
+    private final double coldFrom;
+    private final Span warmWithin;
+    /** Work a core of a cold engine may be sent by this dispatcher in {@code fallWindow}. */
+    private final double coldWorkPerCore;
+    private final Span fallWindow;
+    private final Span keyRest;
+    private final Double furtherFree;
+    private final Double furtherRatio;
+    private final Span furtherWindow;
+    private final Map<ProfileId, Way> ways = new HashMap<>();
+    private final Map<KindId, Double> coresOf = new HashMap<>();
+    private final Map<ShareId, Holder> holders = new HashMap<>();
+    private final RandomGenerator chance;
+    private final TreeMap<EngineId, Engine> engines = new TreeMap<>();
+    private List<Engine> inTurn = List.of();
+    private final Map<CommandId, Cmd> open = new HashMap<>();
+    /** Held commands: in the order taken, by when they are given up, and by benefit for their threads. */
+    private final TreeSet<Cmd> held = new TreeSet<>(Comparator.comparingLong(c -> c.turn));
+    private final TreeSet<Cmd> ending = new TreeSet<>(
+            Comparator.comparingLong((Cmd c) -> c.giveUpAt.us()).thenComparingLong(c -> c.turn));
+    private final TreeSet<Cmd> leastFirst = new TreeSet<>(
+            Comparator.comparingDouble((Cmd c) -> c.density).thenComparingLong(c -> c.turn));
+    private double backlog;
+    private Moment refreshed;
+    private final Map<OrderKey, Line> lines = new HashMap<>();
+    private final Deque<Moment> taken = new ArrayDeque<>();
+    private final Deque<Moment> further = new ArrayDeque<>();
+    private final List<Ghost> ghosts = new ArrayList<>();
+    private long arrivals;
+
+    /** One profile: the few figures that decisions use, and what its commands have shown. */
+    private static final class Way {
+        int index;
+        int threads;
+        double benefit;
+        double lateBenefit;
+        Span target;
+        double stretch;
+        Repeat repeat;
+        Scope scope;
+        Span remembered;
+        boolean inOrder;
+        Set<LocationId> locations;
+        Set<KindId> kinds;
+        int priority;
+        /** Usual latency over the estimated work a thread; usual work of one command, on one thread. */
+        double usual = 1;
+        boolean seen;
+        double usualWork;
+    }
+
+    /** One holder of a share: what it may send before it counts as over its share. */
+    private static final class Holder {
+        double perSecond;
+        double portion;
+        double tokens;
+        Moment filled;
+    }
+
+    /** One engine, for as long as it is listed or holds sends. */
+    private static final class Engine {
+        EngineId id;
+        LocationId location;
+        KindId kind;
+        GroupId group;
+        Standing standing;
+        Moment started;
+        double cores;
+        double whole;
+        /** Threads this dispatcher counts there, of sends without outcome and of work left behind. */
+        int threads;
+        final List<Sent> out = new ArrayList<>();
+        /** Per profile: the logarithm of recent latency over usual; NaN before the first answer. */
+        double[] ease;
+        Moment[] eased;
+        /** Logarithm of slowness over all profiles, and share of failures; both fade with time. */
+        double slow;
+        double failing;
+        Moment judged;
+        Moment heard;
+        double draw;
+        Moment drawn;
+        /** Work that a cold engine may still be sent. */
+        double coldWork;
+        Moment coldFilled;
+        /** This moment's part of its budget, from its health and warmth. */
+        double health = 1;
+    }
+
+    /** One command, until its final answer and the outcome of its last send. */
+    private static final class Cmd {
+        Command command;
+        Way way;
+        long turn;
+        Moment takenAt;
+        Moment targetAt;
+        boolean overShare;
+        boolean drop;
+        /** While held: when it is given up, its benefit for its threads, its part of the backlog. */
+        Moment giveUpAt;
+        double density;
+        double threadTime;
+        boolean over;
+        int sends;
+        Sent out;
+        /** The first send that may have run: its engine's group and location, and when it left. */
+        Moment mayHaveRunSince;
+        GroupId group;
+        LocationId location;
+        EngineId lastEngine;
+    }
+
+    /** One send without outcome. */
+    private static final class Sent {
+        Cmd cmd;
+        Engine engine;
+        int number;
+        Moment at;
+        Span expected;
+    }
+
+    /** Commands with one key, in the order taken, and until when the key rests. */
+    private static final class Line {
+        final Deque<Cmd> queue = new ArrayDeque<>();
+        Moment restUntil;
+    }
+
+    /** Work that went on after its time-out: its threads stay counted until then. */
+    private record Ghost(Engine engine, int threads, Moment until) {
+    }
+
+    public Dispatcher(Deployment told, long seed) {
+        number = told.number();
+        dispatchers = Math.max(1, told.dispatchers());
+        chance = new SplittableRandom(seed);
+        mostSends = told.means().mostSends();
+        cancels = told.means().cancels();
+        priorities = told.means().priorities();
+        margin = told.means().tick().times(2);
+        longestComeBack = told.means().comeBack() ? told.means().longestComeBack() : Span.ZERO;
+        overShareWorth = told.overShareWorth();
+        coldFrom = told.rules().coldFrom();
+        warmWithin = told.rules().warmWithin();
+        fallWindow = told.rules().fallWindow();
+        coldWorkPerCore = told.rules().fallMultiple() * coldFrom * CAPACITY_PER_CORE * fallWindow.us()
+                / dispatchers;
+        keyRest = told.rules().keyRest();
+        furtherFree = told.rules().furtherFree();
+        furtherRatio = told.rules().furtherRatio();
+        furtherWindow = told.rules().furtherWindow();
+        Span shortest = null;
+        for (Profile p : told.profiles()) {
+            shortest = shortest == null ? p.latencyTarget() : shortest.min(p.latencyTarget());
+        }
+        shortestTarget = shortest == null ? margin : shortest;
+        for (Profile p : told.profiles()) {
+            ways.put(p.id(), way(p));
+        }
+        for (Deployment.Kind k : told.kinds()) {
+            coresOf.put(k.id(), k.cores());
+        }
+        double all = 0;
+        for (Deployment.Share s : told.shares()) {
+            all += s.perSecond();
+        }
+        for (Deployment.Share s : told.shares()) {
+            Holder holder = new Holder();
+            holder.perSecond = s.perSecond() / dispatchers;
+            holder.portion = s.perSecond() / all;
+            holders.put(s.id(), holder);
+        }
+    }
+
+    private Way way(Profile p) {
+        Way w = new Way();
+        w.index = ways.size();
+        w.threads = Math.max(1, p.threads());
+        w.benefit = p.benefit();
+        w.lateBenefit = p.lateBenefit();
+        w.target = p.latencyTarget();
+        w.stretch = p.stretch();
+        w.repeat = p.repeat();
+        w.scope = p.scope();
+        w.remembered = p.remembered();
+        w.inOrder = p.inOrder();
+        w.locations = p.locations() == null ? null : Set.copyOf(p.locations());
+        w.kinds = p.onKinds() == null ? null : Set.copyOf(p.onKinds());
+        w.priority = w.target.compareTo(shortestTarget) <= 0 ? 3 : 1;
+        return w;
+    }
+
+    // ---- the three calls
+
+    /** Where to send a command, new or held; a new one that has to wait is held from here on. */
+    public Placement place(Command command, Moment now) {
+        refresh(now);
+        Cmd cmd = open.get(command.id());
+        if (cmd == null) {
+            cmd = take(command, now);
+        }
+        if (cmd.out != null || cmd.over) {
+            return Placement.hold();
+        }
+        if (lost(cmd, now)) {
+            return giveUp(cmd);
+        }
+        Engine best = choose(cmd, now);
+        if (best == null) {
+            return Placement.hold();
+        }
+        return send(cmd, best, now);
+    }
+
+    /** What to do after an outcome: write nothing, or a final answer. */
+    public Placement after(Outcome outcome, Moment now) {
+        Cmd cmd = open.get(outcome.command());
+        if (cmd == null || cmd.out == null || cmd.out.number != outcome.send()) {
+            return Placement.hold();
+        }
+        Sent sent = cmd.out;
+        cmd.out = null;
+        settle(sent, outcome, now);
+        refreshed = null;
+        Ending ending = outcome.ending();
+        boolean unsure = ending == Ending.TIMED_OUT || ending == Ending.CUT || ending == Ending.CANCELLED;
+        if (unsure && cmd.way.inOrder && cmd.command.key() != null) {
+            lines.get(cmd.command.key()).restUntil = now.plus(keyRest);
+        }
+        if (outcome.over() || cmd.over || ending == Ending.ANSWERED) {
+            end(cmd);
+            return Placement.hold();
+        }
+        if (!ending.neverRan() && cmd.mayHaveRunSince == null) {
+            cmd.mayHaveRunSince = sent.at;
+            cmd.group = sent.engine.group;
+            cmd.location = sent.engine.location;
+        }
+        cmd.lastEngine = sent.engine.id;
+        cmd.giveUpAt = giveUpAt(cmd);
+        if (cmd.sends >= mostSends || ending == Ending.NEVER_SENT || lost(cmd, now)) {
+            return giveUp(cmd);
+        }
+        hold(cmd);
+        return Placement.hold();
+    }
+
+    /** The held command to place next, or how long to wait before asking again. */
+    public Pause pause(Moment now) {
+        if (held.isEmpty()) {
+            return Pause.until(null);
+        }
+        refresh(now);
+        Cmd first = ending.first();
+        if (lost(first, now)) {
+            return Pause.ask(first.command);
+        }
+        if (overloaded()) {
+            leastFirst.first().drop = true;
+            return Pause.ask(leastFirst.first().command);
+        }
+        boolean[] full = new boolean[ways.size()];
+        for (Cmd cmd : held) {
+            boolean plain = cmd.sends == 0 && !cmd.way.inOrder;
+            if (plain && full[cmd.way.index]) {
+                continue;
+            }
+            if (choose(cmd, now) != null) {
+                return Pause.ask(cmd.command);
+            }
+            full[cmd.way.index] |= plain;
+        }
+        return Pause.until(redraw().min(first.giveUpAt.since(now)));
+    }
+
+    // ---- news
+
+    /** The list of engines, whole or changes only. Within one list, not being up overrules being up. */
+    public void listed(List<Listing> list, boolean whole, Moment now) {
+        refreshed = null;
+        Set<EngineId> named = new HashSet<>();
+        Set<EngineId> closed = new HashSet<>();
+        for (Listing line : list) {
+            named.add(line.engine());
+            if (line.standing() != Standing.UP) {
+                closed.add(line.engine());
+            }
+        }
+        for (Listing line : list) {
+            Engine e = engines.computeIfAbsent(line.engine(), id -> fresh(id, now));
+            boolean restarted = e.started != null && e.started.before(line.started());
+            e.location = line.location();
+            e.kind = line.kind();
+            e.group = line.group();
+            e.cores = coresOf.getOrDefault(line.kind(), 1.0);
+            e.whole = e.cores * THREADS_PER_CORE;
+            e.standing = closed.contains(line.engine()) && line.standing() == Standing.UP
+                    ? Standing.DRAINING : line.standing();
+            if (e.started == null || restarted) {
+                e.started = line.started();
+                e.coldWork = 0;
+                e.coldFilled = now;
+            }
+            if (restarted) {
+                e.slow = 0;
+                e.failing = 0;
+                Arrays.fill(e.ease, Double.NaN);
+            }
+        }
+        for (Engine e : engines.values()) {
+            if (whole && !named.contains(e.id)) {
+                e.standing = Standing.GONE;
+            }
+        }
+        engines.values().removeIf(e -> e.standing == Standing.GONE && e.threads == 0);
+        List<Engine> sorted = new ArrayList<>(engines.values());
+        inTurn = new ArrayList<>();
+        for (int i = 0; i < sorted.size(); i++) {
+            inTurn.add(sorted.get((i + number) % sorted.size()));
+        }
+    }
+
+    private Engine fresh(EngineId id, Moment now) {
+        Engine e = new Engine();
+        e.id = id;
+        e.ease = new double[ways.size()];
+        Arrays.fill(e.ease, Double.NaN);
+        e.eased = new Moment[ways.size()];
+        e.judged = now;
+        e.heard = now;
+        e.drawn = now;
+        e.draw = chance.nextDouble();
+        return e;
+    }
+
+    /** The client has left: nothing more is owed for the command. */
+    public void departed(CommandId id, Moment now) {
+        Cmd cmd = open.get(id);
+        if (cmd == null) {
+            return;
+        }
+        cmd.over = true;
+        if (cmd.out == null) {
+            end(cmd);
+        }
+    }
+
+    // ---- the ordinary path: budgets, borrowing, the choice of engine
+
+    /** The engine with most budget left per core that this command may go to now, or null. */
+    private Engine choose(Cmd cmd, Moment now) {
+        if (!myTurn(cmd, now) || cmd.sends > 0 && !furtherAllowed(now)) {
+            return null;
+        }
+        Engine best = null;
+        double most = 0;
+        boolean alone = true;
+        for (Engine e : inTurn) {
+            if (!allowed(cmd, e, now)) {
+                continue;
+            }
+            // Guards against a send that failed being repeated where it failed while others stand by.
+            boolean again = e.id.equals(cmd.lastEngine);
+            double left = (budget(e, cmd.way, now) - e.threads) / e.cores;
+            if (fits(e, cmd.way, now) && (best == null || alone && !again || left > most && (alone || !again))) {
+                best = e;
+                most = left;
+                alone = again;
+            }
+        }
+        return best;
+    }
+
+    /** Room for the profile's threads, or, where the budget is below them, the draw of the moment. */
+    private boolean fits(Engine e, Way way, Moment now) {
+        double budget = budget(e, way, now);
+        if (budget < way.threads) {
+            return e.threads == 0 && e.draw < budget / way.threads;
+        }
+        return budget - e.threads >= way.threads;
+    }
+
+    /** This dispatcher's threads at an engine for a profile: its share, and what it may borrow. */
+    private double budget(Engine e, Way way, Moment now) {
+        double share = e.whole / dispatchers;
+        double borrowed = 0;
+        double ease = e.ease[way.index];
+        // Without an answer for as long as evidence takes to fade twice, nothing is borrowed.
+        if (!Double.isNaN(ease) && now.since(e.eased[way.index]).us() < 2 * FADE_IN_TARGETS * way.target.us()) {
+            double part = (Math.log(SLOW) - ease) / (Math.log(SLOW) - Math.log(NEAR));
+            borrowed = (e.whole - share) * Math.max(0, Math.min(1, part));
+        }
+        return (share + borrowed) * e.health * warmth(e, now);
+    }
+
+    /** The part of its work that an engine started a while ago is taken to do. */
+    private double warmth(Engine e, Moment now) {
+        if (!cold(e, now)) {
+            return 1;
+        }
+        return coldFrom + (1 - coldFrom) * Math.max(0, now.since(e.started).over(warmWithin));
+    }
+
+    private boolean cold(Engine e, Moment now) {
+        return e.started.us() > 0 && now.since(e.started).compareTo(warmWithin) < 0;
+    }
+
+    private Span redraw() {
+        return shortestTarget.times(1 / DRAWS_PER_TARGET);
+    }
+
+    // ---- what a command may expect
+
+    /** The work of a command: its estimate, or what its profile usually needs. */
+    private static double work(Cmd cmd) {
+        return cmd.command.work().isPositive() ? cmd.command.work().us() : cmd.way.usualWork;
+    }
+
+    /** Latency to expect at usual speed. */
+    private static Span expected(Cmd cmd) {
+        double work = work(cmd);
+        if (work <= 0) {
+            return cmd.way.target.times(1 / PATIENCE);
+        }
+        return new Span(1 + Math.round(work / cmd.way.threads * cmd.way.usual));
+    }
+
+    /** From when on a held command is given up: it could not be answered in time to be of use. */
+    private Moment giveUpAt(Cmd cmd) {
+        Moment last = cmd.command.clientTimeout().minus(margin);
+        Span expected = expected(cmd);
+        if (cmd.way.lateBenefit > 0) {
+            Moment late = last.minus(expected);
+            return late.before(cmd.takenAt) ? last : late;
+        }
+        Moment inTime = cmd.targetAt.minus(expected);
+        return inTime.before(last) ? inTime : last;
+    }
+
+    private boolean lost(Cmd cmd, Moment now) {
+        return cmd.drop || !repeatable(cmd, now) || !now.before(cmd.giveUpAt);
+    }
+
+    /**
+     * How long a send may take. Guards against sends that stay silent, hang or drew a bad plan: where
+     * another send is allowed it must still meet the latency target. Harm: a slow but sound send is
+     * cut and its work lost, hence never before PATIENCE times its expected latency.
+     */
+    private Span sendTimeout(Cmd cmd, Moment now) {
+        Span left = cmd.command.clientTimeout().minus(margin).since(now);
+        Span toTarget = cmd.targetAt.since(now);
+        Span expected = expected(cmd);
+        Span timeout = left;
+        if (cmd.sends < mostSends - 1 && cmd.way.repeat == Repeat.REPLAYABLE) {
+            timeout = toTarget.minus(expected).max(expected.times(PATIENCE));
+        }
+        if (cmd.way.lateBenefit == 0) {
+            timeout = timeout.min(toTarget.times(TARGET_SLACK));
+        }
+        return timeout.min(left).max(margin);
+    }
+
+    private Placement send(Cmd cmd, Engine e, Moment now) {
+        unhold(cmd);
+        Sent sent = new Sent();
+        sent.cmd = cmd;
+        sent.engine = e;
+        sent.number = cmd.sends++;
+        sent.at = now;
+        sent.expected = expected(cmd);
+        if (sent.number > 0) {
+            further.addLast(now);
+        }
+        cmd.out = sent;
+        e.out.add(sent);
+        e.threads += cmd.way.threads;
+        if (cold(e, now)) {
+            e.coldWork -= cmd.way.usualWork;
+        }
+        return Placement.send(e.id, sendTimeout(cmd, now), 0, priorities ? cmd.way.priority : -1);
+    }
+
+    /** A send is over: its threads are free, and its latency tells how its engine does. */
+    private void settle(Sent sent, Outcome outcome, Moment now) {
+        Engine e = sent.engine;
+        Way way = sent.cmd.way;
+        e.out.remove(sent);
+        e.draw = chance.nextDouble();
+        e.drawn = now;
+        fade(e, now);
+        Span took = now.since(sent.at);
+        if (outcome.ending() == Ending.TIMED_OUT && !cancels) {
+            // A time-out here does not stop the work: its threads stay counted as long again.
+            ghosts.add(new Ghost(e, way.threads, now.plus(took)));
+        } else {
+            e.threads -= way.threads;
+        }
+        double ratio = Math.max(1.0 / WORST_RATIO, Math.min(WORST_RATIO, took.over(sent.expected)));
+        switch (outcome.ending()) {
+            case ANSWERED -> {
+                e.heard = now;
+                e.failing -= e.failing * NEWS;
+                e.slow += (Math.log(ratio) - e.slow) * NEWS;
+                double ease = e.ease[way.index];
+                e.ease[way.index] = Double.isNaN(ease) ? Math.log(ratio)
+                        : ease + (Math.log(ratio) - ease) * NEWS;
+                e.eased[way.index] = now;
+                double step = ratio > 1 ? USUAL_QUANTILE - 1 : USUAL_QUANTILE;
+                way.usual *= way.seen ? Math.exp(-step * USUAL_STEP) : ratio;
+                way.seen = true;
+            }
+            case TIMED_OUT -> {
+                e.slow += Math.max(0, Math.log(ratio) - e.slow) * NEWS;
+                if (!Double.isNaN(e.ease[way.index])) {
+                    e.ease[way.index] += Math.max(0, Math.log(ratio) - e.ease[way.index]) * NEWS;
+                }
+            }
+            case ERROR, CUT, UNREACHABLE, NO_ROOM -> e.failing += (1 - e.failing) * NEWS;
+            default -> { }
+        }
+    }
+
+    // ---- health
+
+    private void fade(Engine e, Moment now) {
+        double keep = Math.pow(0.5, now.since(e.judged).over(shortestTarget) / FADE_IN_TARGETS);
+        e.slow *= keep;
+        e.failing *= keep;
+        e.judged = now;
+    }
+
+    /**
+     * Brings what changes with time up to this moment. An engine's health cuts its budget, down to the
+     * design's own chance sends. It guards against engines that answer slower than the rest, stay
+     * silent, or fail quickly and would draw all commands by being always free; harm: a sound engine
+     * that was unlucky gets less until the evidence fades.
+     */
+    private void refresh(Moment now) {
+        if (now.equals(refreshed)) {
+            return;
+        }
+        refreshed = now;
+        ghosts.removeIf(g -> {
+            boolean done = !now.before(g.until());
+            g.engine().threads -= done ? g.threads() : 0;
+            return done;
+        });
+        double[] slow = new double[inTurn.size()];
+        for (int i = 0; i < slow.length; i++) {
+            Engine e = inTurn.get(i);
+            fade(e, now);
+            slow[i] = Math.max(e.slow, silence(e, now));
+            if (now.since(e.drawn).compareTo(redraw()) >= 0) {
+                e.draw = chance.nextDouble();
+                e.drawn = now;
+            }
+            if (cold(e, now)) {
+                double most = e.cores * coldWorkPerCore / 2;
+                e.coldWork = Math.min(most, e.coldWork + most * now.since(e.coldFilled).over(fallWindow));
+                e.coldFilled = now;
+            }
+        }
+        double[] sorted = slow.clone();
+        Arrays.sort(sorted);
+        double pool = slow.length == 0 ? 0 : sorted[(slow.length - 1) / 2];
+        for (int i = 0; i < slow.length; i++) {
+            double lag = Math.max(0, slow[i] - pool - Math.log(2));
+            inTurn.get(i).health = Math.exp(-2 * lag) * Math.pow(1 - inTurn.get(i).failing, 4);
+        }
+    }
+
+    /** The logarithm of how overdue an engine's answers are, of two sends or more. */
+    private double silence(Engine e, Moment now) {
+        if (e.out.size() < 2) {
+            return 0;
+        }
+        long first = Long.MAX_VALUE;
+        long second = Long.MAX_VALUE;
+        Moment since = e.heard;
+        for (Sent s : e.out) {
+            long us = Math.max(s.at.us(), since.us()) + s.expected.us();
+            if (us < first) {
+                second = first;
+                first = us;
+            } else if (us < second) {
+                second = us;
+            }
+        }
+        double late = now.us() - second;
+        return late <= 0 ? 0 : Math.log(Math.min(WORST_RATIO, 1 + late / (second - e.heard.us() + 1)));
+    }
+
+    // ---- overload
+
+    /** Takes a command in: its latency target, and whether its holder is over its share. */
+    private Cmd take(Command command, Moment now) {
+        Cmd cmd = new Cmd();
+        cmd.command = command;
+        cmd.way = ways.get(command.profile());
+        if (cmd.way == null) {
+            throw new IllegalArgumentException("unknown profile " + command.profile().value());
+        }
+        cmd.turn = arrivals++;
+        cmd.takenAt = now;
+        double work = command.work().us();
+        if (work > 0) {
+            cmd.way.usualWork += (work - cmd.way.usualWork) * (cmd.way.usualWork == 0 ? 1 : NEWS / 4);
+        }
+        cmd.targetAt = now.plus(cmd.way.target)
+                .plus(new Span(Math.round(cmd.way.stretch * work(cmd) / cmd.way.threads)));
+        Holder holder = holders.get(command.share());
+        if (holder != null) {
+            if (holder.filled != null) {
+                double second = now.since(holder.filled).us() / 1e6;
+                holder.tokens = Math.min(holder.perSecond, holder.tokens + holder.perSecond * second);
+            } else {
+                holder.tokens = holder.perSecond;
+            }
+            holder.filled = now;
+            cmd.overShare = holder.tokens < 1;
+            holder.tokens -= cmd.overShare ? 0 : 1;
+        }
+        forget(now);
+        taken.addLast(now);
+        open.put(command.id(), cmd);
+        hold(cmd);
+        if (cmd.way.inOrder && command.key() != null) {
+            lines.computeIfAbsent(command.key(), k -> new Line()).queue.addLast(cmd);
+        }
+        return cmd;
+    }
+
+    private void hold(Cmd cmd) {
+        cmd.giveUpAt = giveUpAt(cmd);
+        cmd.threadTime = cmd.way.threads * (double) expected(cmd).us();
+        cmd.density = cmd.way.benefit * (cmd.overShare ? overShareWorth : 1) / cmd.threadTime;
+        backlog += cmd.threadTime;
+        held.add(cmd);
+        ending.add(cmd);
+        leastFirst.add(cmd);
+    }
+
+    private void unhold(Cmd cmd) {
+        if (held.remove(cmd)) {
+            ending.remove(cmd);
+            leastFirst.remove(cmd);
+            backlog -= cmd.threadTime;
+        }
+    }
+
+    /**
+     * Whether the backlog stands for too long; then the held command of least benefit for its threads
+     * and time is shed. Guards against overload, whatever its cause; harm: a backlog that a burst of
+     * free threads would have cleared.
+     */
+    private boolean overloaded() {
+        double threads = 0;
+        for (Engine e : inTurn) {
+            if (e.standing == Standing.UP) {
+                threads += e.whole / dispatchers * e.health;
+            }
+        }
+        return backlog > threads * shortestTarget.us() * BACKLOG_PER_TARGET;
+    }
+
+    // ---- the rules
+
+    /** Whether the rules let this command go to this engine now: list, placement, repeats, warmth. */
+    private boolean allowed(Cmd cmd, Engine e, Moment now) {
+        Way w = cmd.way;
+        if (e.standing != Standing.UP || w.locations != null && !w.locations.contains(e.location)
+                || w.kinds != null && !w.kinds.contains(e.kind)) {
+            return false;
+        }
+        if (cmd.mayHaveRunSince != null && w.repeat == Repeat.UNIQUED
+                && (w.scope == Scope.LOCATION && !e.location.equals(cmd.location)
+                || w.scope == Scope.GROUP && !e.group.equals(cmd.group))) {
+            return false;
+        }
+        return !cold(e, now) || e.coldWork >= w.usualWork;
+    }
+
+    /** Whether what is known of a command's sends lets it be sent once more. */
+    private boolean repeatable(Cmd cmd, Moment now) {
+        if (cmd.mayHaveRunSince == null || cmd.way.repeat == Repeat.REPLAYABLE) {
+            return true;
+        }
+        return cmd.way.repeat == Repeat.UNIQUED && now.since(cmd.mayHaveRunSince).compareTo(cmd.way.remembered) < 0;
+    }
+
+    /** Whether a command with a key has its turn: first in line, and the key rested. */
+    private boolean myTurn(Cmd cmd, Moment now) {
+        if (!cmd.way.inOrder || cmd.command.key() == null) {
+            return true;
+        }
+        Line line = lines.get(cmd.command.key());
+        return line.queue.peekFirst() == cmd
+                && (cmd.sends > 0 || line.restUntil == null || !now.before(line.restUntil));
+    }
+
+    private boolean furtherAllowed(Moment now) {
+        forget(now);
+        return furtherWindow == null || further.size() + 1 <= furtherFree + furtherRatio * taken.size();
+    }
+
+    /** Drops from both counts what lies outside the window; on its edge, whatever is stricter. */
+    private void forget(Moment now) {
+        Moment from = furtherWindow == null ? now : now.minus(furtherWindow);
+        while (!taken.isEmpty() && !from.before(taken.peekFirst())) {
+            taken.removeFirst();
+        }
+        while (!further.isEmpty() && further.peekFirst().before(from)) {
+            further.removeFirst();
+        }
+    }
+
+    /** The final answer of a command that is given up: shed where a repeat is known to do no harm. */
+    private Placement giveUp(Cmd cmd) {
+        boolean harmless = cmd.mayHaveRunSince == null || cmd.way.repeat == Repeat.REPLAYABLE
+                || cmd.way.repeat == Repeat.UNIQUED && cmd.way.scope == Scope.ALL;
+        end(cmd);
+        return harmless ? Placement.shed(longestComeBack) : Placement.fail();
+    }
+
+    /** Forgets a command that has its final answer and no send without outcome. */
+    private void end(Cmd cmd) {
+        cmd.over = true;
+        unhold(cmd);
+        open.remove(cmd.command.id());
+        if (cmd.way.inOrder && cmd.command.key() != null) {
+            lines.get(cmd.command.key()).queue.remove(cmd);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltseam/dispatch/KindId.java
@@ -0,0 +1,5 @@
+package cobaltseam.dispatch;
+
+/** Names one kind of machine. */
+public record KindId(String value) {
+}
--- /dev/null
+++ b/src/main/java/cobaltseam/dispatch/LocationId.java
@@ -0,0 +1,5 @@
+package cobaltseam.dispatch;
+
+/** Names one location of engines. */
+public record LocationId(String value) {
+}
--- /dev/null
+++ b/src/main/java/cobaltseam/dispatch/OrderKey.java
@@ -0,0 +1,5 @@
+package cobaltseam.dispatch;
+
+/** Names what commands that run in turn have in common. */
+public record OrderKey(String value) {
+}
--- /dev/null
+++ b/src/main/java/cobaltseam/dispatch/ShareId.java
@@ -0,0 +1,5 @@
+package cobaltseam.dispatch;
+
+/** Names one holder of a share of the service. */
+public record ShareId(String value) {
+}
