--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -431,7 +431,9 @@
             }
             // Guards against a send that failed being repeated where it failed while others stand by.
             boolean again = e.id.equals(cmd.lastEngine);
-            double left = (budget(e, cmd.way, now) - e.threads) / e.cores;
+            // Ranked by what is left of its own share: ranked by what it may borrow, an engine that
+            // looks a little faster would draw everything until it is slow.
+            double left = (share(e, now) - e.threads) / e.cores;
             if (fits(e, cmd.way, now) && (best == null || alone && !again || left > most && (alone || !again))) {
                 best = e;
                 most = left;
@@ -452,15 +454,19 @@
 
     /** This dispatcher's threads at an engine for a profile: its share, and what it may borrow. */
     private double budget(Engine e, Way way, Moment now) {
-        double share = e.whole / dispatchers;
         double borrowed = 0;
         double ease = e.ease[way.index];
         // Without an answer for as long as evidence takes to fade twice, nothing is borrowed.
         if (!Double.isNaN(ease) && now.since(e.eased[way.index]).us() < 2 * FADE_IN_TARGETS * way.target.us()) {
             double part = (Math.log(SLOW) - ease) / (Math.log(SLOW) - Math.log(NEAR));
-            borrowed = (e.whole - share) * Math.max(0, Math.min(1, part));
+            borrowed = (dispatchers - 1) * Math.max(0, Math.min(1, part));
         }
-        return (share + borrowed) * e.health * warmth(e, now);
+        return share(e, now) * (1 + borrowed);
+    }
+
+    /** This dispatcher's even share of an engine's figure, as far as the engine is well and warm. */
+    private double share(Engine e, Moment now) {
+        return e.whole / dispatchers * e.health * warmth(e, now);
     }
 
     /** The part of its work that an engine started a while ago is taken to do. */
--- /dev/null
+++ b/src/test/java/cobaltseam/dispatch/DesignTest.java
@@ -0,0 +1,166 @@
+package cobaltseam.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import cobaltseam.dispatch.Outcome.Ending;
+
+/** What the design page promises of the ordinary path, and what each defence was built for. */
+class DesignTest {
+    private static final long WORK = 100_000;
+
+    private static World world(int number, int dispatchers, int threads, long... engines) {
+        World w = new World(World.deployment(number, dispatchers, World.RULES, World.MEANS,
+                World.profile("p", 1), World.profile("wide", threads)), 7);
+        Listing[] list = new Listing[engines.length];
+        for (int i = 0; i < list.length; i++) {
+            list[i] = World.up(engines[i]);
+        }
+        w.list(true, list);
+        return w;
+    }
+
+    private static List<Long> engines(World w) {
+        return w.sends.stream().map(s -> s.engine().value()).toList();
+    }
+
+    @Test
+    void tiesGoBySortedIdsFromTheDispatchersNumber() {
+        World w = world(1, 4, 1, 8, 4, 6);
+        w.take("p", WORK);
+        w.take("p", WORK);
+        w.take("p", WORK);
+        assertEquals(List.of(6L, 8L, 4L), engines(w));
+    }
+
+    @Test
+    void mostBudgetLeftPerCoreWins() {
+        // Engine 3 has half the cores: after one thread each it has less left per core.
+        World w = world(0, 1, 1, 3, 4);
+        for (int i = 0; i < 6; i++) {
+            w.take("p", WORK);
+        }
+        assertEquals(2, engines(w).stream().filter(e -> e == 3).count());
+    }
+
+    @Test
+    void withoutAnswersASendWaitsForRoomInTheEvenShare() {
+        World w = world(0, 4, 1, 4);
+        for (int i = 0; i < 6; i++) {
+            w.take("p", WORK);
+        }
+        assertEquals(4, w.out.size(), "16 threads over 4 dispatchers");
+    }
+
+    @Test
+    void usualAnswersLetItBorrowAndSlowOnesEndThat() {
+        World w = world(0, 4, 1, 4);
+        answer(w, 30, WORK);
+        burst(w);
+        assertEquals(16, w.out.size(), "the whole figure");
+        w.pass(new Span(WORK * 6));
+        for (World.Out o : List.copyOf(w.out.values())) {
+            w.end(o, Ending.ANSWERED, true);
+        }
+        List.copyOf(w.out.values()).forEach(o -> w.end(o, Ending.ANSWERED, true));
+        burst(w);
+        assertTrue(w.out.size() <= 4, "back to the share, not " + w.out.size());
+    }
+
+    private static void answer(World w, int times, long latency) {
+        for (int i = 0; i < times; i++) {
+            w.take("p", WORK);
+            w.pass(new Span(latency));
+            List.copyOf(w.out.values()).forEach(o -> w.end(o, Ending.ANSWERED, true));
+        }
+    }
+
+    private static void burst(World w) {
+        for (int i = 0; i < 18; i++) {
+            w.take("p", WORK);
+        }
+    }
+
+    @Test
+    void anOutcomeFreesItsThreadsForTheOldestHeldThatFits() {
+        World w = world(0, 8, 2, 4);
+        w.take("p", WORK);
+        w.take("p", WORK);
+        Command wide = w.take("wide", WORK);
+        Command old = w.take("p", WORK);
+        w.take("p", WORK);
+        w.end(w.out.values().iterator().next(), Ending.ANSWERED, true);
+        assertTrue(w.out.containsKey(old.id()), "the wide one fits nowhere and blocks none behind it");
+        assertTrue(!w.out.containsKey(wide.id()));
+        assertEquals(2, w.out.size());
+    }
+
+    @Test
+    void aShareBelowOneCommandsThreadsSendsByChanceAndOneAtATime() {
+        World w = world(0, 32, 4, 4);
+        int sent = 0;
+        for (int i = 0; i < 400; i++) {
+            w.take("wide", WORK);
+            assertTrue(w.out.size() <= 1);
+            sent += w.out.size();
+            w.pass(new Span(WORK));
+            List.copyOf(w.out.values()).forEach(o -> w.end(o, Ending.ANSWERED, true));
+        }
+        assertTrue(sent > 20 && sent < 380, "by chance, not always or never: " + sent);
+    }
+
+    @Test
+    void withNoEngineACommandIsHeldAndGivenUpInTime() {
+        World w = world(0, 3, 1);
+        Command c = w.take("p", WORK);
+        assertTrue(w.finals.isEmpty());
+        w.pass(new Span(4_500_000));
+        assertEquals(Placement.Verdict.SHED, w.finals.get(c.id()).verdict());
+    }
+
+    @Test
+    void anEngineThatFailsFastDoesNotDrawTheCommands() {
+        World w = world(0, 2, 1, 4, 5, 6);
+        for (int i = 0; i < 300; i++) {
+            w.take("p", WORK);
+            List.copyOf(w.out.values()).stream().filter(o -> o.engine().value() == 4)
+                    .forEach(o -> w.end(o, Ending.ERROR, false));
+            w.pass(new Span(WORK));
+            List.copyOf(w.out.values()).forEach(o -> w.end(o, Ending.ANSWERED, true));
+        }
+        assertTrue(engines(w).stream().filter(e -> e == 4).count() < 60, "a fifth of an even split and less");
+    }
+
+    @Test
+    void aSilentEngineIsLeftAlone() {
+        World w = world(0, 2, 1, 4, 5, 6);
+        answer(w, 30, WORK);
+        for (int i = 0; i < 100; i++) {
+            w.take("p", WORK);
+            w.pass(new Span(WORK));
+            List.copyOf(w.out.values()).stream().filter(o -> o.engine().value() != 4)
+                    .forEach(o -> w.end(o, Ending.ANSWERED, true));
+        }
+        assertTrue(w.out.values().stream().filter(o -> o.engine().value() == 4).count() <= 8);
+        assertTrue(engines(w).stream().skip(60).noneMatch(e -> e == 4));
+    }
+
+    @Test
+    void whatOverloadSheds() {
+        World w = world(0, 4, 4, 4);
+        for (int i = 0; i < 4; i++) {
+            w.take("p", WORK);
+        }
+        Command heavy = w.take("wide", 20 * WORK);
+        for (int i = 0; i < 30; i++) {
+            w.take("p", WORK);
+        }
+        assertEquals(heavy.id(), w.finals.keySet().iterator().next(), "least benefit for its threads goes first");
+        assertTrue(w.finals.get(heavy.id()).comeBack().isPositive());
+        assertTrue(w.finals.size() < 30);
+    }
+}
