--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -41,9 +41,9 @@
     private static final double SLOW = 3;
     /** How much one answer moves an engine's remembered slowness or failures. */
     private static final double NEWS = 1.0 / 8;
-    /** The usual latency of a profile is this quantile of its answers, followed in steps of USUAL_STEP. */
+    /** The usual latency of a profile is this quantile of its answers, followed in steps that end here. */
     private static final double USUAL_QUANTILE = 0.3;
-    private static final double USUAL_STEP = 1.0 / 16;
+    private static final double USUAL_STEP = 1.0 / 512;
     /** A ratio of latencies beyond this is not told from a larger one. */
     private static final double WORST_RATIO = 16;
     /** A send may take this many times its expected latency before it is given up for another. */
@@ -116,7 +116,7 @@
         int priority;
         /** Usual latency over the estimated work a thread; usual work of one command, on one thread. */
         double usual = 1;
-        boolean seen;
+        long answers;
         double usualWork;
     }
 
@@ -520,15 +520,16 @@
     /**
      * How long a send may take. Guards against sends that stay silent, hang or drew a bad plan: where
      * another send is allowed it must still meet the latency target. Harm: a slow but sound send is
-     * cut and its work lost, hence never before PATIENCE times its expected latency.
+     * cut and its work lost, hence never before PATIENCE times its expected latency at the engine's pace.
      */
-    private Span sendTimeout(Cmd cmd, Moment now) {
+    private Span sendTimeout(Cmd cmd, Engine e, Moment now) {
         Span left = cmd.command.clientTimeout().minus(margin).since(now);
         Span toTarget = cmd.targetAt.since(now);
         Span expected = expected(cmd);
         Span timeout = left;
         if (cmd.sends < mostSends - 1 && cmd.way.repeat == Repeat.REPLAYABLE) {
-            timeout = toTarget.minus(expected).max(expected.times(PATIENCE));
+            double pace = Math.exp(Math.max(0, e.slow));
+            timeout = toTarget.minus(expected.times(pace)).max(expected.times(PATIENCE * pace));
         }
         if (cmd.way.lateBenefit == 0) {
             timeout = timeout.min(toTarget.times(TARGET_SLACK));
@@ -553,7 +554,7 @@
         if (cold(e, now)) {
             e.coldWork -= cmd.way.usualWork;
         }
-        return Placement.send(e.id, sendTimeout(cmd, now), 0, priorities ? cmd.way.priority : -1);
+        return Placement.send(e.id, sendTimeout(cmd, e, now), 0, priorities ? cmd.way.priority : -1);
     }
 
     /** A send is over: its threads are free, and its latency tells how its engine does. */
@@ -582,8 +583,7 @@
                         : ease + (Math.log(ratio) - ease) * NEWS;
                 e.eased[way.index] = now;
                 double step = ratio > 1 ? USUAL_QUANTILE - 1 : USUAL_QUANTILE;
-                way.usual *= way.seen ? Math.exp(-step * USUAL_STEP) : ratio;
-                way.seen = true;
+                way.usual *= Math.exp(-step * Math.max(USUAL_STEP, 1.0 / ++way.answers));
             }
             case TIMED_OUT -> {
                 e.slow += Math.max(0, Math.log(ratio) - e.slow) * NEWS;
@@ -736,7 +736,7 @@
                 threads += e.whole / dispatchers * e.health;
             }
         }
-        return backlog > threads * shortestTarget.us() * BACKLOG_PER_TARGET;
+        return threads > 0 && backlog > threads * shortestTarget.us() * BACKLOG_PER_TARGET;
     }
 
     // ---- the rules
