--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -93,6 +93,8 @@
             Comparator.comparingDouble((Cmd c) -> c.density).thenComparingLong(c -> c.turn));
     private double backlog;
     private Moment refreshed;
+    /** How many times their usual latency the engines' answers take now, at the middle one of them. */
+    private double pace = 1;
     private final Map<OrderKey, Line> lines = new HashMap<>();
     private final Deque<Moment> taken = new ArrayDeque<>();
     private final Deque<Moment> further = new ArrayDeque<>();
@@ -493,7 +495,7 @@
     }
 
     /** Latency to expect at usual speed. */
-    private static Span expected(Cmd cmd) {
+    private static Span usually(Cmd cmd) {
         double work = work(cmd);
         if (work <= 0) {
             return cmd.way.target.times(1 / PATIENCE);
@@ -501,6 +503,11 @@
         return new Span(1 + Math.round(work / cmd.way.threads * cmd.way.usual));
     }
 
+    /** Latency to expect at the pace at which the engines answer now. */
+    private Span expected(Cmd cmd) {
+        return usually(cmd).times(pace);
+    }
+
     /** From when on a held command is given up: it could not be answered in time to be of use. */
     private Moment giveUpAt(Cmd cmd) {
         Moment last = cmd.command.clientTimeout().minus(margin);
@@ -528,8 +535,8 @@
         Span expected = expected(cmd);
         Span timeout = left;
         if (cmd.sends < mostSends - 1 && cmd.way.repeat == Repeat.REPLAYABLE) {
-            double pace = Math.exp(Math.max(0, e.slow));
-            timeout = toTarget.minus(expected.times(pace)).max(expected.times(PATIENCE * pace));
+            double there = Math.max(pace, Math.exp(e.slow));
+            timeout = toTarget.minus(expected).max(usually(cmd).times(PATIENCE * there));
         }
         if (cmd.way.lateBenefit == 0) {
             timeout = timeout.min(toTarget.times(TARGET_SLACK));
@@ -544,7 +551,7 @@
         sent.engine = e;
         sent.number = cmd.sends++;
         sent.at = now;
-        sent.expected = expected(cmd);
+        sent.expected = usually(cmd);
         if (sent.number > 0) {
             further.addLast(now);
         }
@@ -638,7 +645,8 @@
         }
         double[] sorted = slow.clone();
         Arrays.sort(sorted);
-        double pool = slow.length == 0 ? 0 : sorted[(slow.length - 1) / 2];
+        double pool = slow.length == 0 ? 0 : Math.max(0, sorted[(slow.length - 1) / 2]);
+        pace = Math.exp(pool);
         for (int i = 0; i < slow.length; i++) {
             double lag = Math.max(0, slow[i] - pool - Math.log(2));
             inTurn.get(i).health = Math.exp(-2 * lag) * Math.pow(1 - inTurn.get(i).failing, 4);
