A memory budget beside the thread budget

Cause: mixes of reports pass an engine's memory while threads stay within budget. Kept; not the whole of the jam.

--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -55,6 +55,8 @@
     private static final double FADE_IN_TARGETS = 4;
     /** The backlog may stand for this part of the shortest latency target before commands are shed. */
     private static final double BACKLOG_PER_TARGET = 0.5;
+    /** Memory that a command counts for, over its estimate: what an engine grants by itself. */
+    private static final double ROOM_PER_MEMORY = 1.25;
     /** A cold engine is taken to do this part of one thread's work a core, times what it starts from. */
     private static final double CAPACITY_PER_CORE = 0.6;
 
@@ -79,7 +81,8 @@
     private final Double furtherRatio;
     private final Span furtherWindow;
     private final Map<ProfileId, Way> ways = new HashMap<>();
-    private final Map<KindId, Double> coresOf = new HashMap<>();
+    private final Map<KindId, Deployment.Kind> kinds = new HashMap<>();
+    private final double grantCap;
     private final Map<ShareId, Holder> holders = new HashMap<>();
     private final RandomGenerator chance;
     private final TreeMap<EngineId, Engine> engines = new TreeMap<>();
@@ -140,8 +143,10 @@
         Moment started;
         double cores;
         double whole;
+        double memoryMb;
         /** Threads this dispatcher counts there, of sends without outcome and of work left behind. */
         int threads;
+        double memoryOutMb;
         final List<Sent> out = new ArrayList<>();
         /** Per profile: the logarithm of recent latency over usual; NaN before the first answer. */
         double[] ease;
@@ -190,6 +195,7 @@
         int number;
         Moment at;
         Span expected;
+        double memoryMb;
     }
 
     /** Commands with one key, in the order taken, and until when the key rests. */
@@ -209,6 +215,7 @@
         mostSends = told.means().mostSends();
         cancels = told.means().cancels();
         priorities = told.means().priorities();
+        grantCap = told.means().grantCap();
         margin = told.means().tick().times(2);
         longestComeBack = told.means().comeBack() ? told.means().longestComeBack() : Span.ZERO;
         overShareWorth = told.overShareWorth();
@@ -230,7 +237,7 @@
             ways.put(p.id(), way(p));
         }
         for (Deployment.Kind k : told.kinds()) {
-            coresOf.put(k.id(), k.cores());
+            kinds.put(k.id(), k);
         }
         double all = 0;
         for (Deployment.Share s : told.shares()) {
@@ -364,7 +371,9 @@
             e.location = line.location();
             e.kind = line.kind();
             e.group = line.group();
-            e.cores = coresOf.getOrDefault(line.kind(), 1.0);
+            Deployment.Kind kind = kinds.get(line.kind());
+            e.cores = kind == null ? 1 : kind.cores();
+            e.memoryMb = kind == null ? 0 : kind.memoryMb();
             e.whole = e.cores * THREADS_PER_CORE;
             e.standing = closed.contains(line.engine()) && line.standing() == Standing.UP
                     ? Standing.DRAINING : line.standing();
@@ -436,7 +445,7 @@
             // Ranked by what is left of its own share: ranked by what it may borrow, an engine that
             // looks a little faster would draw everything until it is slow.
             double left = (share(e, now) - e.threads) / e.cores;
-            if (fits(e, cmd.way, now) && (best == null || alone && !again || left > most && (alone || !again))) {
+            if (fits(e, cmd, now) && (best == null || alone && !again || left > most && (alone || !again))) {
                 best = e;
                 most = left;
                 alone = again;
@@ -446,24 +455,33 @@
     }
 
     /** Room for the profile's threads, or, where the budget is below them, the draw of the moment. */
-    private boolean fits(Engine e, Way way, Moment now) {
-        double budget = budget(e, way, now);
-        if (budget < way.threads) {
-            return e.threads == 0 && e.draw < budget / way.threads;
+    private boolean fits(Engine e, Cmd cmd, Moment now) {
+        int threads = cmd.way.threads;
+        double times = 1 + borrowed(e, cmd.way, now);
+        double budget = share(e, now) * times;
+        if (budget < threads) {
+            return e.threads == 0 && e.draw < budget / threads;
         }
-        return budget - e.threads >= way.threads;
+        // Guards against mixes that pass an engine's peak while all dispatchers keep to their threads:
+        // commands heavy on memory, which spill or wait there. Harm: where estimates lie too high,
+        // engines are left with room.
+        return budget - e.threads >= threads && (e.memoryOutMb == 0 || e.memoryMb == 0
+                || e.memoryOutMb + memory(cmd, e) <= e.memoryMb / dispatchers * times);
     }
 
-    /** This dispatcher's threads at an engine for a profile: its share, and what it may borrow. */
-    private double budget(Engine e, Way way, Moment now) {
-        double borrowed = 0;
+    private double memory(Cmd cmd, Engine e) {
+        return Math.min(grantCap * e.memoryMb, cmd.command.memoryMb() * ROOM_PER_MEMORY);
+    }
+
+    /** What may be borrowed at an engine for a profile, as a multiple of the share. */
+    private double borrowed(Engine e, Way way, Moment now) {
         double ease = e.ease[way.index];
         // Without an answer for as long as evidence takes to fade twice, nothing is borrowed.
         if (!Double.isNaN(ease) && now.since(e.eased[way.index]).us() < 2 * FADE_IN_TARGETS * way.target.us()) {
             double part = (Math.log(SLOW) - ease) / (Math.log(SLOW) - Math.log(NEAR));
-            borrowed = (dispatchers - 1) * Math.max(0, Math.min(1, part));
+            return (dispatchers - 1) * Math.max(0, Math.min(1, part));
         }
-        return share(e, now) * (1 + borrowed);
+        return 0;
     }
 
     /** This dispatcher's even share of an engine's figure, as far as the engine is well and warm. */
@@ -558,6 +576,8 @@
         cmd.out = sent;
         e.out.add(sent);
         e.threads += cmd.way.threads;
+        sent.memoryMb = memory(cmd, e);
+        e.memoryOutMb += sent.memoryMb;
         if (cold(e, now)) {
             e.coldWork -= cmd.way.usualWork;
         }
@@ -569,6 +589,7 @@
         Engine e = sent.engine;
         Way way = sent.cmd.way;
         e.out.remove(sent);
+        e.memoryOutMb = e.out.isEmpty() ? 0 : e.memoryOutMb - sent.memoryMb;
         e.draw = chance.nextDouble();
         e.drawn = now;
         fade(e, now);
