--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -174,6 +174,7 @@
         Moment targetAt;
         boolean overShare;
         boolean drop;
+        boolean late;
         /** While held: when it is given up, its benefit for its threads, its part of the backlog. */
         Moment giveUpAt;
         double density;
@@ -317,6 +318,7 @@
         }
         cmd.lastEngine = sent.engine.id;
         cmd.giveUpAt = giveUpAt(cmd);
+        cmd.late = cmd.targetAt.before(now.plus(expected(cmd)));
         if (cmd.sends >= mostSends || ending == Ending.NEVER_SENT || lost(cmd, now)) {
             return giveUp(cmd);
         }
@@ -545,7 +547,8 @@
     /**
      * How long a send may take. Guards against sends that stay silent, hang or drew a bad plan: where
      * another send is allowed it must still meet the latency target. Harm: a slow but sound send is
-     * cut and its work lost, hence never before PATIENCE times its expected latency at the engine's pace.
+     * cut and its work lost, hence never before PATIENCE times its expected latency at the engine's pace, as long
+     * as that is within the latency target.
      */
     private Span sendTimeout(Cmd cmd, Engine e, Moment now) {
         Span left = cmd.command.clientTimeout().minus(margin).since(now);
@@ -554,7 +557,8 @@
         Span timeout = left;
         if (cmd.sends < mostSends - 1 && cmd.way.repeat == Repeat.REPLAYABLE) {
             double there = Math.max(pace, Math.exp(e.slow));
-            timeout = toTarget.minus(expected).max(usually(cmd).times(PATIENCE * there));
+            timeout = toTarget.minus(expected).max(usually(cmd).times(PATIENCE * there))
+                    .min(toTarget.max(usually(cmd).times(PATIENCE)));
         }
         if (cmd.way.lateBenefit == 0) {
             timeout = timeout.min(toTarget.times(TARGET_SLACK));
@@ -738,7 +742,8 @@
     private void hold(Cmd cmd) {
         cmd.giveUpAt = giveUpAt(cmd);
         cmd.threadTime = cmd.way.threads * (double) expected(cmd).us();
-        cmd.density = cmd.way.benefit * (cmd.overShare ? overShareWorth : 1) / cmd.threadTime;
+        cmd.density = cmd.way.benefit * (cmd.overShare ? overShareWorth : 1)
+                * (cmd.late ? cmd.way.lateBenefit : 1) / cmd.threadTime;
         backlog += cmd.threadTime;
         held.add(cmd);
         ending.add(cmd);
