Shares shrink towards one thread a core as answers slow

Cause: some mixes pass an engine's peak while every dispatcher stays within its share. Harm: engines slowed from outside get less than they could do.

--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -674,7 +674,8 @@
         pace = Math.exp(pool);
         for (int i = 0; i < slow.length; i++) {
             double lag = Math.max(0, slow[i] - pool - Math.log(2));
-            inTurn.get(i).health = Math.exp(-2 * lag) * Math.pow(1 - inTurn.get(i).failing, 4);
+            double strain = Math.max(0.5, Math.min(1, Math.exp(Math.log(NEAR) - slow[i])));
+            inTurn.get(i).health = strain * Math.exp(-2 * lag) * Math.pow(1 - inTurn.get(i).failing, 4);
         }
     }
 
