Borrow one answer at a time; a slow or overdue send gives half back

Cause: borrowing hung on answers alone, and in a jam few came back: engines of 16 threads' figure held 30 to 44. Covers any jam, hang or slow-down.

--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -35,9 +35,9 @@
 public final class Dispatcher {
     /** The design's figure: threads an engine is given for each of its cores. */
     private static final double THREADS_PER_CORE = 2;
-    /** Answers up to this multiple of the usual latency let a dispatcher borrow the whole figure. */
+    /** An answer within this multiple of its usual latency lets its threads be borrowed once more. */
     private static final double NEAR = 1.5;
-    /** From this multiple of the usual latency on nothing is borrowed; in between, a part. */
+    /** One beyond this, or no answer for as long, gives half of what is borrowed back. */
     private static final double SLOW = 3;
     /** How much one answer moves an engine's remembered slowness or failures. */
     private static final double NEWS = 1.0 / 8;
@@ -148,9 +148,8 @@
         int threads;
         double memoryOutMb;
         final List<Sent> out = new ArrayList<>();
-        /** Per profile: the logarithm of recent latency over usual; NaN before the first answer. */
-        double[] ease;
-        Moment[] eased;
+        /** Per profile: how much of the other dispatchers' budget may be borrowed, from 0 to 1. */
+        double[] borrowed;
         /** Logarithm of slowness over all profiles, and share of failures; both fade with time. */
         double slow;
         double failing;
@@ -197,6 +196,7 @@
         Moment at;
         Span expected;
         double memoryMb;
+        boolean slow;
     }
 
     /** Commands with one key, in the order taken, and until when the key rests. */
@@ -387,7 +387,7 @@
             if (restarted) {
                 e.slow = 0;
                 e.failing = 0;
-                Arrays.fill(e.ease, Double.NaN);
+                Arrays.fill(e.borrowed, 0);
             }
         }
         for (Engine e : engines.values()) {
@@ -403,12 +403,17 @@
         }
     }
 
+    /** Whether nothing is held, out, or counted anywhere. */
+    boolean idle() {
+        return open.isEmpty() && held.isEmpty() && Math.abs(backlog) < 1 && engines.values().stream()
+                .allMatch(e -> e.threads == ghosts.stream().filter(g -> g.engine() == e)
+                        .mapToInt(Ghost::threads).sum() && e.out.isEmpty() && e.memoryOutMb == 0);
+    }
+
     private Engine fresh(EngineId id, Moment now) {
         Engine e = new Engine();
         e.id = id;
-        e.ease = new double[ways.size()];
-        Arrays.fill(e.ease, Double.NaN);
-        e.eased = new Moment[ways.size()];
+        e.borrowed = new double[ways.size()];
         e.judged = now;
         e.heard = now;
         e.drawn = now;
@@ -459,7 +464,7 @@
     /** Room for the profile's threads, or, where the budget is below them, the draw of the moment. */
     private boolean fits(Engine e, Cmd cmd, Moment now) {
         int threads = cmd.way.threads;
-        double times = 1 + borrowed(e, cmd.way, now);
+        double times = 1 + (dispatchers - 1) * e.borrowed[cmd.way.index];
         double budget = share(e, now) * times;
         if (budget < threads) {
             return e.threads == 0 && e.draw < budget / threads;
@@ -475,17 +480,6 @@
         return Math.min(grantCap * e.memoryMb, cmd.command.memoryMb() * ROOM_PER_MEMORY);
     }
 
-    /** What may be borrowed at an engine for a profile, as a multiple of the share. */
-    private double borrowed(Engine e, Way way, Moment now) {
-        double ease = e.ease[way.index];
-        // Without an answer for as long as evidence takes to fade twice, nothing is borrowed.
-        if (!Double.isNaN(ease) && now.since(e.eased[way.index]).us() < 2 * FADE_IN_TARGETS * way.target.us()) {
-            double part = (Math.log(SLOW) - ease) / (Math.log(SLOW) - Math.log(NEAR));
-            return (dispatchers - 1) * Math.max(0, Math.min(1, part));
-        }
-        return 0;
-    }
-
     /** This dispatcher's even share of an engine's figure, as far as the engine is well and warm. */
     private double share(Engine e, Moment now) {
         return e.whole / dispatchers * e.health * warmth(e, now);
@@ -610,24 +604,31 @@
                 e.heard = now;
                 e.failing -= e.failing * NEWS;
                 e.slow += (Math.log(ratio) - e.slow) * NEWS;
-                double ease = e.ease[way.index];
-                e.ease[way.index] = Double.isNaN(ease) ? Math.log(ratio)
-                        : ease + (Math.log(ratio) - ease) * NEWS;
-                e.eased[way.index] = now;
+                if (ratio <= NEAR) {
+                    e.borrowed[way.index] = Math.min(1, e.borrowed[way.index] + way.threads / e.whole);
+                } else if (ratio > SLOW) {
+                    fallBack(sent);
+                }
                 double step = ratio > 1 ? USUAL_QUANTILE - 1 : USUAL_QUANTILE;
                 way.usual *= Math.exp(-step * Math.max(USUAL_STEP, 1.0 / ++way.answers));
             }
             case TIMED_OUT -> {
                 e.slow += Math.max(0, Math.log(ratio) - e.slow) * NEWS;
-                if (!Double.isNaN(e.ease[way.index])) {
-                    e.ease[way.index] += Math.max(0, Math.log(ratio) - e.ease[way.index]) * NEWS;
-                }
+                fallBack(sent);
             }
             case ERROR, CUT, UNREACHABLE, NO_ROOM -> e.failing += (1 - e.failing) * NEWS;
             default -> { }
         }
     }
 
+    /** Gives back half of what was borrowed, once a send: its answer is slow, or overdue and still out. */
+    private static void fallBack(Sent sent) {
+        if (!sent.slow) {
+            sent.slow = true;
+            sent.engine.borrowed[sent.cmd.way.index] /= 2;
+        }
+    }
+
     // ---- health
 
     private void fade(Engine e, Moment now) {
@@ -657,6 +658,11 @@
         for (int i = 0; i < slow.length; i++) {
             Engine e = inTurn.get(i);
             fade(e, now);
+            for (Sent sent : e.out) {
+                if (now.since(sent.at).over(sent.expected) > SLOW) {
+                    fallBack(sent);
+                }
+            }
             slow[i] = Math.max(e.slow, silence(e, now));
             if (now.since(e.drawn).compareTo(redraw()) >= 0) {
                 e.draw = chance.nextDouble();
--- a/src/test/java/cobaltseam/dispatch/DesignTest.java
+++ b/src/test/java/cobaltseam/dispatch/DesignTest.java
@@ -102,14 +102,13 @@
     @Test
     void aShareBelowOneCommandsThreadsSendsByChanceAndOneAtATime() {
         World w = world(0, 32, 4, 4);
-        int sent = 0;
         for (int i = 0; i < 400; i++) {
             w.take("wide", WORK);
             assertTrue(w.out.size() <= 1);
-            sent += w.out.size();
             w.pass(new Span(WORK));
             List.copyOf(w.out.values()).forEach(o -> w.end(o, Ending.CANCELLED, true));
         }
+        int sent = w.sends.size();
         assertTrue(sent > 20 && sent < 380, "by chance, not always or never: " + sent);
     }
 
--- /dev/null
+++ b/src/test/java/cobaltseam/dispatch/RulesTest.java
@@ -0,0 +1,250 @@
+package cobaltseam.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import cobaltseam.dispatch.Deployment.Means;
+import cobaltseam.dispatch.Deployment.Profile;
+import cobaltseam.dispatch.Deployment.Repeat;
+import cobaltseam.dispatch.Deployment.Rules;
+import cobaltseam.dispatch.Deployment.Scope;
+import cobaltseam.dispatch.Listing.Standing;
+import cobaltseam.dispatch.Outcome.Ending;
+
+/** A slow, plain model of the seven rules beside the module, on generated days. */
+class RulesTest {
+    private static final Rules RULES = new Rules(0.3, new Span(15_000_000), 2, new Span(3_000_000),
+            new Span(400_000), 2.0, 0.2, new Span(2_000_000));
+
+    /** What became of one command, as the model saw it; it keeps everything and looks it all through. */
+    private static final class Seen {
+        Command command;
+        Moment takenAt;
+        boolean gone;
+        final List<Ending> endings = new ArrayList<>();
+        final List<Moment> endedAt = new ArrayList<>();
+    }
+
+    private final Map<CommandId, Seen> seen = new LinkedHashMap<>();
+    private final Map<EngineId, Listing> listed = new HashMap<>();
+    private final Map<EngineId, Double> tokens = new HashMap<>();
+    private final Map<ProfileId, Profile> profiles = new HashMap<>();
+    private final Map<CommandId, List<World.Out>> sendsOf = new HashMap<>();
+    private World world;
+    private int checkedSends;
+    private int checkedFinals;
+
+    private static boolean over(World w, Seen s) {
+        return s.gone || w.finals.containsKey(s.command.id()) || s.endings.contains(Ending.ANSWERED);
+    }
+
+    /** Looks at every send and final answer that is new. */
+    private void check() {
+        for (; checkedSends < world.sends.size(); checkedSends++) {
+            send(world.sends.get(checkedSends));
+        }
+        List<CommandId> finals = List.copyOf(world.finals.keySet());
+        for (; checkedFinals < finals.size(); checkedFinals++) {
+            last(finals.get(checkedFinals));
+        }
+    }
+
+    private void send(World.Out out) {
+        Seen cmd = seen.get(out.command().id());
+        Profile p = profiles.get(out.command().profile());
+        Listing to = listed.get(out.engine());
+        List<World.Out> earlier = sendsOf.computeIfAbsent(out.command().id(), k -> new ArrayList<>());
+        assertEquals(Standing.UP, to.standing(), "drains are kept");
+        assertTrue(p.locations() == null || p.locations().contains(to.location()), "placement by location");
+        assertTrue(p.onKinds() == null || p.onKinds().contains(to.kind()), "placement by kind");
+        assertEquals(earlier.size(), cmd.endings.size(), "one send at a time");
+        assertTrue(earlier.size() < 4, "no more sends than allowed");
+        assertTrue(!cmd.gone && !cmd.endings.contains(Ending.ANSWERED), "nothing after the end");
+        assertTrue(world.finals.get(cmd.command.id()) == null, "nothing after the final answer");
+        assertTrue(out.at().plus(out.timeout()).before(cmd.command.clientTimeout()), "ends before the client");
+        World.Out first = null;
+        for (int i = 0; i < earlier.size() && first == null; i++) {
+            first = cmd.endings.get(i).neverRan() ? null : earlier.get(i);
+        }
+        if (first != null) {
+            assertTrue(p.repeat() != Repeat.NON_REPLAYABLE, "no effect twice");
+            Listing ran = listed.get(first.engine());
+            if (p.repeat() == Repeat.UNIQUED) {
+                assertTrue(out.at().since(first.at()).compareTo(p.remembered()) <= 0, "while it is remembered");
+                assertTrue(p.scope() != Scope.LOCATION || ran.location().equals(to.location()), "same location");
+                assertTrue(p.scope() != Scope.GROUP || ran.group().equals(to.group()), "same group");
+            }
+        }
+        if (!earlier.isEmpty()) {
+            Moment from = out.at().minus(RULES.furtherWindow());
+            long further = world.sends.subList(0, checkedSends + 1).stream()
+                    .filter(s -> s.number() > 0 && !s.at().before(from)).count();
+            long taken = seen.values().stream().filter(s -> from.before(s.takenAt)).count();
+            assertTrue(further <= RULES.furtherFree() + RULES.furtherRatio() * taken, "further sends in budget");
+        }
+        order(cmd, p, out);
+        cold(to, p, out);
+        earlier.add(out);
+    }
+
+    private void order(Seen cmd, Profile p, World.Out out) {
+        if (!p.inOrder()) {
+            return;
+        }
+        for (Seen other : seen.values()) {
+            if (other == cmd) {
+                return;
+            }
+            if (!profiles.get(other.command.profile()).inOrder() || !other.command.key().equals(cmd.command.key())) {
+                continue;
+            }
+            assertTrue(over(world, other), "an earlier one of the key is not over");
+            assertTrue(!world.out.containsKey(other.command.id()), "an earlier one has a send without outcome");
+            for (int i = 0; i < other.endings.size(); i++) {
+                Ending e = other.endings.get(i);
+                if (e == Ending.TIMED_OUT || e == Ending.CUT || e == Ending.CANCELLED) {
+                    assertTrue(!out.at().before(other.endedAt.get(i).plus(RULES.keyRest())), "the key rests");
+                }
+            }
+        }
+    }
+
+    /** In any window, this dispatcher's part of a cold engine's allowance, at a core's work a core. */
+    private void cold(Listing to, Profile p, World.Out out) {
+        if (to.started().us() == 0 || out.at().since(to.started()).compareTo(RULES.warmWithin()) >= 0) {
+            return;
+        }
+        Moment from = out.at().minus(RULES.fallWindow());
+        double sent = world.sends.subList(0, checkedSends + 1).stream()
+                .filter(s -> s.engine().equals(out.engine()) && !s.at().before(from) && !s.at().before(to.started()))
+                .mapToDouble(s -> s.command().work().us()).sum();
+        double cores = to.kind().value().equals("k8") ? 8 : 4;
+        double most = RULES.fallMultiple() * RULES.coldFrom() * cores * RULES.fallWindow().us() / 3;
+        assertTrue(sent <= most, "a cold engine is sent " + sent + " of " + most);
+    }
+
+    private void last(CommandId id) {
+        Seen cmd = seen.get(id);
+        Profile p = profiles.get(cmd.command.profile());
+        Placement said = world.finals.get(id);
+        assertTrue(world.now.before(cmd.command.clientTimeout()), "the final answer is in time");
+        assertTrue(!cmd.gone && !cmd.endings.contains(Ending.ANSWERED), "one final answer");
+        if (said.verdict() == Placement.Verdict.SHED) {
+            boolean mayHaveRun = cmd.endings.stream().anyMatch(e -> !e.neverRan());
+            assertTrue(!mayHaveRun || p.repeat() == Repeat.REPLAYABLE
+                    || p.repeat() == Repeat.UNIQUED && p.scope() == Scope.ALL, "shed only where harmless");
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+    void moduleAndModelAgree(long seed) {
+        SplittableRandom r = new SplittableRandom(seed);
+        Profile[] all = {World.profile("p", 1),
+            World.profile("wide", 4, Repeat.REPLAYABLE, Scope.ALL, false, null, List.of(new KindId("k8"))),
+            World.profile("once", 1, Repeat.NON_REPLAYABLE, Scope.ALL, false, null, null),
+            World.profile("here", 1, Repeat.UNIQUED, Scope.LOCATION, false, null, null),
+            World.profile("there", 2, Repeat.UNIQUED, Scope.GROUP, false, List.of(new LocationId("l1")), null),
+            World.profile("anywhere", 1, Repeat.UNIQUED, Scope.ALL, false, null, null),
+            World.profile("turns", 1, seed % 2 == 0 ? Repeat.REPLAYABLE : Repeat.NON_REPLAYABLE, Scope.ALL, true,
+                    null, null)};
+        for (Profile p : all) {
+            profiles.put(p.id(), p);
+        }
+        Means means = new Means(World.TICK, 4, true, seed % 3 != 0, true, true, 0.4, seed % 5 != 0, new Span(500_000));
+        world = new World(World.deployment((int) seed % 3, 3, RULES, means, all), seed);
+        Ending[] endings = Ending.values();
+        for (int step = 0; step < 3000; step++) {
+            world.pass(new Span(World.TICK.us() * r.nextInt(3)));
+            timeOut();
+            int what = r.nextInt(100);
+            if (step == 0 || what < 6) {
+                list(r, step == 0 || what < 2);
+            } else if (what < 56) {
+                take(all[r.nextInt(all.length)], r);
+            } else if (what < 97 && !world.out.isEmpty()) {
+                World.Out out = List.copyOf(world.out.values()).get(r.nextInt(world.out.size()));
+                end(out, r.nextInt(3) > 0 ? Ending.ANSWERED : endings[r.nextInt(endings.length)]);
+            } else if (what < 99 && !seen.isEmpty()) {
+                depart(List.copyOf(seen.values()).get(r.nextInt(seen.size())));
+            }
+            check();
+        }
+        for (int i = 0; i < 1200; i++) {
+            world.pass(World.TICK);
+            timeOut();
+            check();
+        }
+        for (Seen cmd : seen.values()) {
+            assertTrue(over(world, cmd), "a command without a final answer: " + cmd.command);
+        }
+        assertTrue(world.dispatcher.idle(), "no budget leaks");
+        assertTrue(world.sends.size() > 300, "a day with some sends");
+    }
+
+    private void timeOut() {
+        for (World.Out out : List.copyOf(world.out.values())) {
+            if (!world.now.before(out.at().plus(out.timeout()))) {
+                end(out, Ending.TIMED_OUT);
+            }
+        }
+    }
+
+    private void end(World.Out out, Ending ending) {
+        Seen cmd = seen.get(out.command().id());
+        cmd.endings.add(ending);
+        cmd.endedAt.add(world.now);
+        world.end(out, ending, ending == Ending.ANSWERED || over(world, cmd));
+        if (world.now.us() % 7 == 0) {
+            world.out.remove(out.command().id(), out);
+            world.dispatcher.after(new Outcome(out.command().id(), out.number(), out.engine(), Ending.ERROR,
+                    Span.ZERO, false, new Span(-1), -1, -1, -1), world.now);
+        }
+    }
+
+    private void take(Profile p, SplittableRandom r) {
+        long work = r.nextInt(10) == 0 ? 0 : r.nextInt(50) == 0 ? 1L << 50 : 20_000 + r.nextInt(300_000);
+        Command c = world.command(p.id().value(), p.inOrder() ? "k" + r.nextInt(3) : null, work);
+        Seen cmd = new Seen();
+        cmd.command = c;
+        cmd.takenAt = world.now;
+        seen.put(c.id(), cmd);
+        world.take(c);
+    }
+
+    private void depart(Seen cmd) {
+        if (!over(world, cmd)) {
+            cmd.gone = true;
+        }
+        world.dispatcher.departed(cmd.command.id(), world.now);
+        world.follow();
+    }
+
+    private void list(SplittableRandom r, boolean whole) {
+        List<Listing> lines = new ArrayList<>();
+        for (long id = 1; id <= 6; id++) {
+            if (whole || r.nextInt(3) == 0) {
+                Standing standing = r.nextInt(4) > 0 ? Standing.UP : r.nextBoolean() ? Standing.DRAINING : Standing.GONE;
+                Listing old = listed.get(new EngineId(id));
+                long started = old == null ? r.nextBoolean() ? 0 : world.now.us()
+                        : r.nextInt(3) > 0 ? old.started().us() : world.now.us();
+                lines.add(World.listing(id, standing, started));
+            }
+        }
+        if (whole) {
+            listed.clear();
+        }
+        lines.forEach(line -> listed.put(line.engine(), line));
+        world.list(whole, lines.toArray(new Listing[0]));
+    }
+}
