--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -111,6 +111,7 @@
         double benefit;
         double lateBenefit;
         Span target;
+        Span clientTimeout;
         double stretch;
         Repeat repeat;
         Scope scope;
@@ -259,6 +260,7 @@
         w.benefit = p.benefit();
         w.lateBenefit = p.lateBenefit();
         w.target = p.latencyTarget();
+        w.clientTimeout = p.clientTimeout();
         w.stretch = p.stretch();
         w.repeat = p.repeat();
         w.scope = p.scope();
@@ -718,7 +720,8 @@
         }
         cmd.turn = arrivals++;
         cmd.takenAt = now;
-        double work = command.work().us();
+        // An estimate beyond all that its client waits for is no guide to what is usual.
+        double work = Math.min(command.work().us(), (double) cmd.way.threads * cmd.way.clientTimeout.us());
         if (work > 0) {
             cmd.way.usualWork += (work - cmd.way.usualWork) * (cmd.way.usualWork == 0 ? 1 : NEWS / 4);
         }
--- a/src/test/java/cobaltseam/dispatch/World.java
+++ b/src/test/java/cobaltseam/dispatch/World.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 
 import cobaltseam.dispatch.Deployment.Kind;
 import cobaltseam.dispatch.Deployment.Means;
@@ -33,6 +34,9 @@
     final List<Out> sends = new ArrayList<>();
     final List<EngineId> probes = new ArrayList<>();
     Span wait;
+    /** Told of each send and each final answer as it is said. */
+    Consumer<Out> onSend = out -> { };
+    Consumer<CommandId> onFinal = id -> { };
     private int ids;
 
     World(Deployment told, long seed) {
@@ -133,11 +137,13 @@
                     throw new AssertionError("two sends at once for " + command.id());
                 }
                 sends.add(send);
+                onSend.accept(send);
             }
             case SHED, FAIL -> {
                 if (finals.put(command.id(), said) != null) {
                     throw new AssertionError("two final answers for " + command.id());
                 }
+                onFinal.accept(command.id());
             }
             default -> { }
         }
