--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -47,7 +47,9 @@
     /** A ratio of latencies beyond this is not told from a larger one. */
     private static final double WORST_RATIO = 16;
     /** A send may take this many times its expected latency before it is given up for another. */
-    private static final double PATIENCE = 3;
+    private static final double PATIENCE = 2.5;
+    /** And never less than this part of the latency target: small commands meet pauses and handshakes too. */
+    private static final double LEAST_PATIENCE = 0.25;
     /** Past its latency target by this ratio a send without late benefit is of no more use. */
     private static final double TARGET_SLACK = 1.25;
     /** The shortest latency target over these: time between redraws, time after which evidence halves. */
@@ -541,20 +543,19 @@
     }
 
     /**
-     * How long a send may take. Guards against sends that stay silent, hang or drew a bad plan: where
-     * another send is allowed it must still meet the latency target. Harm: a slow but sound send is
-     * cut and its work lost, hence never before PATIENCE times its expected latency at the engine's pace, as long
-     * as that is within the latency target.
+     * How long a send may take. Guards against sends that stay silent, hang or drew a bad plan, where
+     * another may follow: those hold threads, and the sooner they go the sooner a better one is out.
+     * Harm: a slow but sound send is cut and its work lost, hence never before PATIENCE times its usual
+     * latency, and the engine's pace counts as far as the latency target allows.
      */
     private Span sendTimeout(Cmd cmd, Engine e, Moment now) {
         Span left = cmd.command.clientTimeout().minus(margin).since(now);
         Span toTarget = cmd.targetAt.since(now);
-        Span expected = expected(cmd);
         Span timeout = left;
         if (cmd.sends < mostSends - 1 && cmd.way.repeat == Repeat.REPLAYABLE) {
             double there = Math.max(pace, Math.exp(e.slow));
-            timeout = toTarget.minus(expected).max(usually(cmd).times(PATIENCE * there))
-                    .min(toTarget.max(usually(cmd).times(PATIENCE)));
+            timeout = usually(cmd).times(PATIENCE * there).min(toTarget).max(usually(cmd).times(PATIENCE))
+                    .max(cmd.way.target.times(LEAST_PATIENCE));
         }
         if (cmd.way.lateBenefit == 0) {
             timeout = timeout.min(toTarget.times(TARGET_SLACK));
