--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -556,6 +556,10 @@
             double there = Math.max(pace, Math.exp(e.slow));
             timeout = usually(cmd).times(PATIENCE * there).min(toTarget).max(usually(cmd).times(PATIENCE))
                     .max(cmd.way.target.times(LEAST_PATIENCE));
+            if (!cancels) {
+                // Cutting frees nothing here: as late as another send can still be in time.
+                timeout = timeout.max(toTarget.minus(expected(cmd)));
+            }
         }
         if (cmd.way.lateBenefit == 0) {
             timeout = timeout.min(toTarget.times(TARGET_SLACK));
