--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -59,8 +59,8 @@
     private static final double BACKLOG_PER_TARGET = 0.5;
     /** Memory that a command counts for, over its estimate: what an engine grants by itself. */
     private static final double ROOM_PER_MEMORY = 1.25;
-    /** A cold engine is taken to do this part of one thread's work a core, times what it starts from. */
-    private static final double CAPACITY_PER_CORE = 0.6;
+    /** Of what a cold engine may be sent at most, at one thread's work a core, this part is used. */
+    private static final double COLD_CAUTION = 0.5;
 
     // ---- state that lives as long as the instance
 
@@ -226,7 +226,7 @@
         coldFrom = told.rules().coldFrom();
         warmWithin = told.rules().warmWithin();
         fallWindow = told.rules().fallWindow();
-        coldWorkPerCore = told.rules().fallMultiple() * coldFrom * CAPACITY_PER_CORE * fallWindow.us()
+        coldWorkPerCore = told.rules().fallMultiple() * coldFrom * COLD_CAUTION * fallWindow.us()
                 / dispatchers;
         keyRest = told.rules().keyRest();
         furtherFree = told.rules().furtherFree();
@@ -676,8 +676,16 @@
                 e.drawn = now;
             }
             if (cold(e, now)) {
-                double most = e.cores * coldWorkPerCore / 2;
-                e.coldWork = Math.min(most, e.coldWork + most * now.since(e.coldFilled).over(fallWindow));
+                // Guards against pushing over an engine that has just started. The allowance comes
+                // evenly over the window, from nothing, and one command of the heaviest profile is
+                // the most that can be saved up; the growth that can't be seen counts half.
+                double grown = 1 + (1 / coldFrom - 1) * now.since(e.started).over(warmWithin) / 2;
+                double allowance = e.cores * coldWorkPerCore * grown;
+                double most = allowance / 2;
+                for (Way w : ways.values()) {
+                    most = Math.max(most, w.usualWork);
+                }
+                e.coldWork = Math.min(most, e.coldWork + allowance * now.since(e.coldFilled).over(fallWindow));
                 e.coldFilled = now;
             }
         }
