--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -38,7 +38,7 @@
     /** An answer within this multiple of its usual latency lets its threads be borrowed once more. */
     private static final double NEAR = 1.5;
     /** One beyond this, or no answer for as long, gives half of what is borrowed back. */
-    private static final double SLOW = 3;
+    private static final double SLOW = 2;
     /** How much one answer moves an engine's remembered slowness or failures. */
     private static final double NEWS = 1.0 / 8;
     /** The usual latency of a profile is this quantile of its answers, followed in steps that end here. */
--- a/src/test/java/cobaltseam/dispatch/RulesTest.java
+++ b/src/test/java/cobaltseam/dispatch/RulesTest.java
@@ -106,7 +106,7 @@
         }
     }
 
-    /** In any window, this dispatcher's part of a cold engine's allowance, at a core's work a core. */
+    /** In any window, this dispatcher's part of a cold engine's allowance, at a core's work a core, growing evenly. */
     private void cold(Listing to, Profile p, World.Out out) {
         if (to.started().us() == 0 || out.at().since(to.started()).compareTo(RULES.warmWithin()) >= 0) {
             return;
@@ -116,7 +116,9 @@
                 .filter(s -> s.engine().equals(out.engine()) && !s.at().before(from) && !s.at().before(to.started()))
                 .mapToDouble(s -> USUAL_WORK_US).sum();
         double cores = to.kind().value().equals("k8") ? 8 : 4;
-        double most = RULES.fallMultiple() * RULES.coldFrom() * cores * RULES.fallWindow().us() / 3;
+        double warmth = RULES.coldFrom()
+                + (1 - RULES.coldFrom()) * out.at().since(to.started()).over(RULES.warmWithin());
+        double most = RULES.fallMultiple() * warmth * cores * RULES.fallWindow().us() / 3;
         assertTrue(sent <= most, "a cold engine is sent " + sent + " of " + most);
     }
 
