--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -55,8 +55,8 @@
     /** The shortest latency target over these: time between redraws, time after which evidence halves. */
     private static final double DRAWS_PER_TARGET = 8;
     private static final double FADE_IN_TARGETS = 4;
-    /** The backlog may stand for this part of the shortest latency target before commands are shed. */
-    private static final double BACKLOG_PER_TARGET = 0.5;
+    /** The queue up to a command may take this part of the time that it can wait, before one is shed. */
+    private static final double QUEUE_PER_SLACK = 0.7;
     /** Memory that a command counts for, over its estimate: what an engine grants by itself. */
     private static final double ROOM_PER_MEMORY = 1.25;
     /** Of what a cold engine may be sent at most, at one thread's work a core, this part is used. */
@@ -90,13 +90,10 @@
     private final TreeMap<EngineId, Engine> engines = new TreeMap<>();
     private List<Engine> inTurn = List.of();
     private final Map<CommandId, Cmd> open = new HashMap<>();
-    /** Held commands: in the order taken, by when they are given up, and by benefit for their threads. */
+    /** Held commands: in the order taken, and by when they are given up. */
     private final TreeSet<Cmd> held = new TreeSet<>(Comparator.comparingLong(c -> c.turn));
     private final TreeSet<Cmd> ending = new TreeSet<>(
             Comparator.comparingLong((Cmd c) -> c.giveUpAt.us()).thenComparingLong(c -> c.turn));
-    private final TreeSet<Cmd> leastFirst = new TreeSet<>(
-            Comparator.comparingDouble((Cmd c) -> c.density).thenComparingLong(c -> c.turn));
-    private double backlog;
     private Moment refreshed;
     /** How many times their usual latency the engines' answers take now, at the middle one of them. */
     private double pace = 1;
@@ -177,7 +174,7 @@
         boolean overShare;
         boolean drop;
         boolean late;
-        /** While held: when it is given up, its benefit for its threads, its part of the backlog. */
+        /** While held: when it is given up, its benefit for its threads, its threads' time. */
         Moment giveUpAt;
         double density;
         double threadTime;
@@ -340,9 +337,10 @@
         if (lost(first, now)) {
             return Pause.ask(first.command);
         }
-        if (overloaded()) {
-            leastFirst.first().drop = true;
-            return Pause.ask(leastFirst.first().command);
+        Cmd victim = victim(now);
+        if (victim != null) {
+            victim.drop = true;
+            return Pause.ask(victim.command);
         }
         boolean[] full = new boolean[ways.size()];
         for (Cmd cmd : held) {
@@ -409,7 +407,7 @@
 
     /** Whether nothing is held, out, or counted anywhere. */
     boolean idle() {
-        return open.isEmpty() && held.isEmpty() && Math.abs(backlog) < 1 && engines.values().stream()
+        return open.isEmpty() && held.isEmpty() && engines.values().stream()
                 .allMatch(e -> e.threads == ghosts.stream().filter(g -> g.engine() == e)
                         .mapToInt(Ghost::threads).sum() && e.out.isEmpty() && e.memoryOutMb == 0);
     }
@@ -767,33 +765,47 @@
         cmd.threadTime = cmd.way.threads * (double) expected(cmd).us();
         cmd.density = cmd.way.benefit * (cmd.overShare ? overShareWorth : 1)
                 * (cmd.late ? cmd.way.lateBenefit : 1) / cmd.threadTime;
-        backlog += cmd.threadTime;
         held.add(cmd);
         ending.add(cmd);
-        leastFirst.add(cmd);
     }
 
     private void unhold(Cmd cmd) {
         if (held.remove(cmd)) {
             ending.remove(cmd);
-            leastFirst.remove(cmd);
-            backlog -= cmd.threadTime;
         }
     }
 
     /**
-     * Whether the backlog stands for too long; then the held command of least benefit for its threads
-     * and time is shed. Guards against overload, whatever its cause; harm: a backlog that a burst of
-     * free threads would have cleared.
+     * The held command to shed, if the queue is too long for one in it to be answered in time: of that
+     * one and those ahead of it, the one of least benefit for its threads and time. Only commands as
+     * narrow count as ahead, since narrow ones pass wide ones that fit nowhere. Guards against overload,
+     * whatever its cause; harm: a burst of free threads would have cleared the queue.
      */
-    private boolean overloaded() {
-        double threads = 0;
+    private Cmd victim(Moment now) {
+        double[] threads = new double[ways.size()];
         for (Engine e : inTurn) {
-            if (e.standing == Standing.UP) {
-                threads += e.whole / dispatchers * e.health;
+            for (int way = 0; way < threads.length && e.standing == Standing.UP; way++) {
+                threads[way] += share(e, now) * (1 + (dispatchers - 1) * e.borrowed[way]);
             }
         }
-        return threads > 0 && backlog > threads * shortestTarget.us() * BACKLOG_PER_TARGET;
+        double[] ahead = new double[ways.size()];
+        for (Cmd cmd : held) {
+            for (Way way : ways.values()) {
+                ahead[way.index] += way.threads >= cmd.way.threads ? cmd.threadTime : 0;
+            }
+            int way = cmd.way.index;
+            double slack = cmd.targetAt.since(now).us() - cmd.threadTime / cmd.way.threads;
+            if (threads[way] > 0 && !cmd.late && ahead[way] > threads[way] * slack * QUEUE_PER_SLACK) {
+                Cmd least = cmd;
+                for (Cmd other : held.headSet(cmd)) {
+                    if (other.way.threads <= cmd.way.threads && other.density < least.density) {
+                        least = other;
+                    }
+                }
+                return least;
+            }
+        }
+        return null;
     }
 
     // ---- the rules
