--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -56,7 +56,7 @@
     private static final double DRAWS_PER_TARGET = 8;
     private static final double FADE_IN_TARGETS = 4;
     /** The queue up to a command may take this part of the time that it can wait, before one is shed. */
-    private static final double QUEUE_PER_SLACK = 0.7;
+    private static final double QUEUE_PER_SLACK = 0.3;
     /** Memory that a command counts for, over its estimate: what an engine grants by itself. */
     private static final double ROOM_PER_MEMORY = 1.25;
     /** Of what a cold engine may be sent at most, at one thread's work a core, this part is used. */
