--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -48,8 +48,6 @@
     private static final double WORST_RATIO = 16;
     /** A send may take this many times its expected latency before it is given up for another. */
     private static final double PATIENCE = 2.5;
-    /** The share of a profile's sends that may be cut, about as many as may draw a bad plan. */
-    private static final double TAIL_SHARE = 1.0 / 8;
     /** And never less than this part of the latency target: small commands meet pauses and handshakes too. */
     private static final double LEAST_PATIENCE = 0.25;
     /** Past its latency target by this ratio a send without late benefit is of no more use. */
@@ -124,8 +122,6 @@
         /** Usual latency over the estimated work a thread; usual work of one command, on one thread. */
         double usual = 1;
         long answers;
-        /** The multiple of the usual latency that the slowest sends of a profile pass, cut or not. */
-        double tail = PATIENCE;
         double usualWork;
     }
 
@@ -556,8 +552,7 @@
         Span timeout = left;
         if (cmd.sends < mostSends - 1 && cmd.way.repeat == Repeat.REPLAYABLE) {
             double there = Math.max(pace, Math.exp(e.slow));
-            timeout = usually(cmd).times(PATIENCE * there).min(toTarget)
-                    .max(usually(cmd).times(Math.max(PATIENCE, cmd.way.tail)))
+            timeout = usually(cmd).times(PATIENCE * there).min(toTarget).max(usually(cmd).times(PATIENCE))
                     .max(cmd.way.target.times(LEAST_PATIENCE));
             if (!cancels) {
                 // Cutting frees nothing here: as late as another send can still be in time.
@@ -608,16 +603,8 @@
         } else {
             e.threads -= way.threads;
         }
-        Ending ending = outcome.ending();
         double ratio = Math.max(1.0 / WORST_RATIO, Math.min(WORST_RATIO, took.over(sent.expected)));
-        if (ending == Ending.ANSWERED || ending == Ending.TIMED_OUT) {
-            // Guards against cutting sound sends when all are slow: TAIL_SHARE of them is cut at most,
-            // about as many as may draw a bad plan. Counting the cut ones keeps it from feeding itself.
-            boolean beyond = ending == Ending.TIMED_OUT || ratio > way.tail;
-            way.tail = Math.max(PATIENCE, way.tail * Math.exp((beyond ? 1 - TAIL_SHARE : -TAIL_SHARE) * NEWS));
-            way.tail = Math.min(way.tail, WORST_RATIO);
-        }
-        switch (ending) {
+        switch (outcome.ending()) {
             case ANSWERED -> {
                 e.heard = now;
                 e.failing -= e.failing * NEWS;
