--- a/src/main/java/cobaltseam/adapter/Instance.java
+++ b/src/main/java/cobaltseam/adapter/Instance.java
@@ -5,6 +5,7 @@
 
 import cobaltseam.dispatch.Command;
 import cobaltseam.dispatch.CommandId;
+import cobaltseam.dispatch.DataSetId;
 import cobaltseam.dispatch.Deployment;
 import cobaltseam.dispatch.Dispatcher;
 import cobaltseam.dispatch.EngineId;
@@ -69,7 +70,8 @@
         Command command = new Command(new CommandId(f.text("op_id")), new ProfileId(f.text("kind")),
                 share == null || share.equals("0") ? null : new ShareId(share),
                 f.has("order_key") ? new OrderKey(f.text("order_key")) : null, new Moment(f.whole("due_us")),
-                new Span(hint ? f.whole("guess_us", 0) : 0), f.number("mem_mb", 0));
+                new Span(hint ? f.whole("guess_us", 0) : 0), f.number("mem_mb", 0),
+                f.has("table_group") ? new DataSetId((long) f.number("table_group")) : null);
         write(command.id(), dispatcher.place(command, now));
     }
 
--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -88,7 +88,9 @@
     private final Map<ShareId, Holder> holders = new HashMap<>();
     private final RandomGenerator chance;
     private final TreeMap<EngineId, Engine> engines = new TreeMap<>();
-    private List<Engine> inTurn = List.of();
+    private List<Engine> sorted = List.of();
+    /** Threads of the widest profile: budget left is compared in whole commands of it. */
+    private int widest = 1;
     private final Map<CommandId, Cmd> open = new HashMap<>();
     /** Held commands: in the order taken, and by when they are given up. */
     private final TreeSet<Cmd> held = new TreeSet<>(Comparator.comparingLong(c -> c.turn));
@@ -256,6 +258,7 @@
         Way w = new Way();
         w.index = ways.size();
         w.threads = Math.max(1, p.threads());
+        widest = Math.max(widest, w.threads);
         w.benefit = p.benefit();
         w.lateBenefit = p.lateBenefit();
         w.target = p.latencyTarget();
@@ -398,11 +401,7 @@
             }
         }
         engines.values().removeIf(e -> e.standing == Standing.GONE && e.threads == 0);
-        List<Engine> sorted = new ArrayList<>(engines.values());
-        inTurn = new ArrayList<>();
-        for (int i = 0; i < sorted.size(); i++) {
-            inTurn.add(sorted.get((i + number) % sorted.size()));
-        }
+        sorted = new ArrayList<>(engines.values());
     }
 
     /** Whether nothing is held, out, or counted anywhere. */
@@ -445,7 +444,12 @@
         Engine best = null;
         double most = 0;
         boolean alone = true;
-        for (Engine e : inTurn) {
+        // Ties start at the dispatcher's number, or, so that engines find their data warm, at that of the
+        // data set, which is the same at every dispatcher.
+        DataSetId data = cmd.command.dataSet();
+        int start = data == null ? number : (int) Math.floorMod(data.value(), Math.max(1L, sorted.size()));
+        for (int i = 0; i < sorted.size(); i++) {
+            Engine e = sorted.get((start + i) % sorted.size());
             if (!allowed(cmd, e, now)) {
                 continue;
             }
@@ -453,7 +457,7 @@
             boolean again = e.id.equals(cmd.lastEngine);
             // Ranked by what is left of its own share: ranked by what it may borrow, an engine that
             // looks a little faster would draw everything until it is slow.
-            double left = (share(e, now) - e.threads) / e.cores;
+            double left = Math.floor((share(e, now) - e.threads) / widest) / e.cores;
             if (fits(e, cmd, now) && (best == null || alone && !again || left > most && (alone || !again))) {
                 best = e;
                 most = left;
@@ -659,9 +663,9 @@
             g.engine().threads -= done ? g.threads() : 0;
             return done;
         });
-        double[] slow = new double[inTurn.size()];
+        double[] slow = new double[sorted.size()];
         for (int i = 0; i < slow.length; i++) {
-            Engine e = inTurn.get(i);
+            Engine e = sorted.get(i);
             fade(e, now);
             for (Sent sent : e.out) {
                 if (now.since(sent.at).over(sent.expected) > SLOW) {
@@ -687,14 +691,14 @@
                 e.coldFilled = now;
             }
         }
-        double[] sorted = slow.clone();
-        Arrays.sort(sorted);
-        double pool = slow.length == 0 ? 0 : Math.max(0, sorted[(slow.length - 1) / 2]);
+        double[] ranked = slow.clone();
+        Arrays.sort(ranked);
+        double pool = slow.length == 0 ? 0 : Math.max(0, ranked[(slow.length - 1) / 2]);
         pace = Math.exp(pool);
         for (int i = 0; i < slow.length; i++) {
             double lag = Math.max(0, slow[i] - pool - Math.log(2));
             double strain = Math.max(0.5, Math.min(1, Math.exp(Math.log(NEAR) - slow[i])));
-            inTurn.get(i).health = strain * Math.exp(-2 * lag) * Math.pow(1 - inTurn.get(i).failing, 4);
+            sorted.get(i).health = strain * Math.exp(-2 * lag) * Math.pow(1 - sorted.get(i).failing, 4);
         }
     }
 
@@ -783,7 +787,7 @@
      */
     private Cmd victim(Moment now) {
         double[] threads = new double[ways.size()];
-        for (Engine e : inTurn) {
+        for (Engine e : sorted) {
             for (int way = 0; way < threads.length && e.standing == Standing.UP; way++) {
                 threads[way] += share(e, now) * (1 + (dispatchers - 1) * e.borrowed[way]);
             }
