--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -89,8 +89,6 @@
     private final RandomGenerator chance;
     private final TreeMap<EngineId, Engine> engines = new TreeMap<>();
     private List<Engine> sorted = List.of();
-    /** Threads of the widest profile: budget left is compared in whole commands of it. */
-    private int widest = 1;
     private final Map<CommandId, Cmd> open = new HashMap<>();
     /** Held commands: in the order taken, and by when they are given up. */
     private final TreeSet<Cmd> held = new TreeSet<>(Comparator.comparingLong(c -> c.turn));
@@ -258,7 +256,6 @@
         Way w = new Way();
         w.index = ways.size();
         w.threads = Math.max(1, p.threads());
-        widest = Math.max(widest, w.threads);
         w.benefit = p.benefit();
         w.lateBenefit = p.lateBenefit();
         w.target = p.latencyTarget();
@@ -457,7 +454,7 @@
             boolean again = e.id.equals(cmd.lastEngine);
             // Ranked by what is left of its own share: ranked by what it may borrow, an engine that
             // looks a little faster would draw everything until it is slow.
-            double left = Math.floor((share(e, now) - e.threads) / widest) / e.cores;
+            double left = Math.floor((share(e, now) - e.threads) / cmd.way.threads) / e.cores;
             if (fits(e, cmd, now) && (best == null || alone && !again || left > most && (alone || !again))) {
                 best = e;
                 most = left;
