Progress notes decide which sends are called off

Cause: under strain three quarters of the sends cut were sound, only slow; a note tells a bad plan by its pace. A first try faulted on notes for sends past calling off; the rule model now feeds notes.

--- a/src/main/java/cobaltseam/adapter/DeploymentReader.java
+++ b/src/main/java/cobaltseam/adapter/DeploymentReader.java
@@ -78,7 +78,7 @@
         return new Deployment.Means(span(told, "tick_us"), (int) limits.whole("most_tries", 1),
                 limits.flag("probes"), limits.flag("cancel"), family.flag("takes_grants"),
                 family.flag("ranks_heeded"), family.number("grant_cap", 1), limits.flag("retry_after"),
-                new Span(limits.whole("max_retry_after_us", 0)));
+                new Span(limits.whole("max_retry_after_us", 0)), family.whole("tells_every_us", 0) > 0);
     }
 
     private static Span span(Fields f, String name) {
--- a/src/main/java/cobaltseam/adapter/Instance.java
+++ b/src/main/java/cobaltseam/adapter/Instance.java
@@ -29,6 +29,7 @@
     }
 
     private static final int HINT_VALID = 1;
+    private static final int SHARE_DONE = 1;
     private static final int NOTE_MEMORY_STEPS = 4096;
     private static final int NOTE_MEMORY_MB = 4;
 
@@ -124,6 +125,13 @@
         dispatcher.departed(new CommandId(f.text("op_id")), now);
     }
 
+    void progressed(Fields f, Moment now) {
+        if (f.whole("what") == SHARE_DONE) {
+            dispatcher.progressed(new CommandId(f.text("op_id")), (int) f.whole("copy", 0),
+                    f.number("amount", 0), now);
+        }
+    }
+
     void elapsed(Fields f) {
         if (f.whole("name") == timers) {
             wake = null;
@@ -134,7 +142,14 @@
     void follow(Moment now) {
         Pause pause = dispatcher.pause(now);
         while (pause.span() != null && !pause.span().isPositive()) {
-            if (pause.command() != null) {
+            if (pause.callOff() >= 0) {
+                String id = pause.command().id().value();
+                int send = pause.callOff();
+                add("recall", out -> {
+                    out.writeStringField("op_id", id);
+                    out.writeNumberField("copy", send);
+                });
+            } else if (pause.command() != null) {
                 write(pause.command().id(), dispatcher.place(pause.command(), now));
             } else if (pause.probe() != null) {
                 long engine = pause.probe().value();
--- a/src/main/java/cobaltseam/dispatch/Deployment.java
+++ b/src/main/java/cobaltseam/dispatch/Deployment.java
@@ -37,6 +37,7 @@
 
     /** What a dispatcher may do here, and how fine its clock is. */
     public record Means(Span tick, int mostSends, boolean probes, boolean cancels, boolean grants,
-                        boolean priorities, double grantCap, boolean comeBack, Span longestComeBack) {
+                        boolean priorities, double grantCap, boolean comeBack, Span longestComeBack,
+                        boolean tellsProgress) {
     }
 }
--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -68,6 +68,7 @@
     private final int dispatchers;
     private final int mostSends;
     private final boolean cancels;
+    private final boolean tellsProgress;
     private final boolean priorities;
     private final Span margin;
     private final Span shortestTarget;
@@ -97,6 +98,9 @@
     private Moment refreshed;
     /** How many times their usual latency the engines' answers take now, at the middle one of them. */
     private double pace = 1;
+    /** Sends that may be called off, by when. */
+    private final TreeSet<Sent> cuts = new TreeSet<>(
+            Comparator.comparingLong((Sent s) -> s.cutAt.us()).thenComparingLong(s -> s.cmd.turn));
     private final Map<OrderKey, Line> lines = new HashMap<>();
     private final Deque<Moment> taken = new ArrayDeque<>();
     private final Deque<Moment> further = new ArrayDeque<>();
@@ -194,6 +198,8 @@
         Engine engine;
         int number;
         Moment at;
+        /** When it is called off, if its progress may still change that. */
+        Moment cutAt;
         Span expected;
         double memoryMb;
         boolean slow;
@@ -215,6 +221,7 @@
         chance = new SplittableRandom(seed);
         mostSends = told.means().mostSends();
         cancels = told.means().cancels();
+        tellsProgress = told.means().tellsProgress() && cancels;
         priorities = told.means().priorities();
         grantCap = told.means().grantCap();
         margin = told.means().tick().times(2);
@@ -329,10 +336,19 @@
 
     /** The held command to place next, or how long to wait before asking again. */
     public Pause pause(Moment now) {
+        refresh(now);
+        Span next = redraw();
+        if (!cuts.isEmpty()) {
+            Sent first = cuts.first();
+            if (!now.before(first.cutAt)) {
+                cuts.remove(first);
+                return Pause.callOff(first.cmd.command, first.number);
+            }
+            next = first.cutAt.since(now);
+        }
         if (held.isEmpty()) {
-            return Pause.until(null);
+            return Pause.until(cuts.isEmpty() ? null : next);
         }
-        refresh(now);
         Cmd first = ending.first();
         if (lost(first, now)) {
             return Pause.ask(first.command);
@@ -353,7 +369,7 @@
             }
             full[cmd.way.index] |= plain;
         }
-        return Pause.until(redraw().min(first.giveUpAt.since(now)));
+        return Pause.until(next.min(redraw()).min(first.giveUpAt.since(now)));
     }
 
     // ---- news
@@ -419,6 +435,23 @@
         return e;
     }
 
+    /**
+     * How far a send is. Guards against bad plans, and against cutting what is merely slow: it is called
+     * off at once if at this pace a new send would be done in half the time that it still needs, and
+     * otherwise given that time. Harm: a rough note that is far too low costs the work done.
+     */
+    public void progressed(CommandId id, int send, double share, Moment now) {
+        Cmd cmd = open.get(id);
+        Sent sent = cmd == null ? null : cmd.out;
+        if (sent == null || sent.number != send || sent.cutAt == null || !(share > 0) || !cuts.remove(sent)) {
+            return;
+        }
+        Span rest = now.since(sent.at).times((1 - Math.min(1, share)) / share);
+        boolean worse = rest.compareTo(expected(cmd).times(2)) > 0;
+        sent.cutAt = worse ? now : now.plus(rest.times(PATIENCE));
+        cuts.add(sent);
+    }
+
     /** The client has left: nothing more is owed for the command. */
     public void departed(CommandId id, Moment now) {
         Cmd cmd = open.get(id);
@@ -548,10 +581,9 @@
      * latency, and the engine's pace counts as far as the latency target allows.
      */
     private Span sendTimeout(Cmd cmd, Engine e, Moment now) {
-        Span left = cmd.command.clientTimeout().minus(margin).since(now);
         Span toTarget = cmd.targetAt.since(now);
-        Span timeout = left;
-        if (cmd.sends < mostSends - 1 && cmd.way.repeat == Repeat.REPLAYABLE) {
+        Span timeout = longest(cmd, now);
+        if (mayFollow(cmd)) {
             double there = Math.max(pace, Math.exp(e.slow));
             timeout = usually(cmd).times(PATIENCE * there).min(toTarget).max(usually(cmd).times(PATIENCE))
                     .max(cmd.way.target.times(LEAST_PATIENCE));
@@ -560,10 +592,20 @@
                 timeout = timeout.max(toTarget.minus(expected(cmd)));
             }
         }
+        return timeout.min(longest(cmd, now));
+    }
+
+    private boolean mayFollow(Cmd cmd) {
+        return cmd.sends < mostSends && cmd.way.repeat == Repeat.REPLAYABLE;
+    }
+
+    /** How long a send can be of use. */
+    private Span longest(Cmd cmd, Moment now) {
+        Span left = cmd.command.clientTimeout().minus(margin).since(now);
         if (cmd.way.lateBenefit == 0) {
-            timeout = timeout.min(toTarget.times(TARGET_SLACK));
+            left = left.min(cmd.targetAt.since(now).times(TARGET_SLACK));
         }
-        return timeout.min(left).max(margin);
+        return left.max(margin);
     }
 
     private Placement send(Cmd cmd, Engine e, Moment now) {
@@ -578,6 +620,12 @@
             further.addLast(now);
         }
         cmd.out = sent;
+        Span timeout = sendTimeout(cmd, e, now);
+        if (tellsProgress && mayFollow(cmd)) {
+            sent.cutAt = now.plus(timeout);
+            cuts.add(sent);
+            timeout = longest(cmd, now);
+        }
         e.out.add(sent);
         e.threads += cmd.way.threads;
         sent.memoryMb = memory(cmd, e);
@@ -585,7 +633,7 @@
         if (cold(e, now)) {
             e.coldWork -= cmd.way.usualWork;
         }
-        return Placement.send(e.id, sendTimeout(cmd, e, now), 0, priorities ? cmd.way.priority : -1);
+        return Placement.send(e.id, timeout, 0, priorities ? cmd.way.priority : -1);
     }
 
     /** A send is over: its threads are free, and its latency tells how its engine does. */
@@ -593,6 +641,9 @@
         Engine e = sent.engine;
         Way way = sent.cmd.way;
         e.out.remove(sent);
+        if (sent.cutAt != null) {
+            cuts.remove(sent);
+        }
         e.memoryOutMb = e.out.isEmpty() ? 0 : e.memoryOutMb - sent.memoryMb;
         e.draw = chance.nextDouble();
         e.drawn = now;
--- a/src/test/java/cobaltseam/dispatch/RulesTest.java
+++ b/src/test/java/cobaltseam/dispatch/RulesTest.java
@@ -150,7 +150,7 @@
         for (Profile p : all) {
             profiles.put(p.id(), p);
         }
-        Means means = new Means(World.TICK, 4, true, seed % 3 != 0, true, true, 0.4, seed % 5 != 0, new Span(500_000));
+        Means means = new Means(World.TICK, 4, true, seed % 3 != 0, true, true, 0.4, seed % 5 != 0, new Span(500_000), seed % 7 > 2);
         world = new World(World.deployment((int) seed % 3, 3, RULES, means, all), seed);
         world.onSend = this::send;
         world.onFinal = this::last;
@@ -166,6 +166,10 @@
             } else if (what < 97 && !world.out.isEmpty()) {
                 World.Out out = List.copyOf(world.out.values()).get(r.nextInt(world.out.size()));
                 end(out, r.nextInt(3) > 0 ? Ending.ANSWERED : endings[r.nextInt(endings.length)]);
+            } else if (what < 98 && !world.out.isEmpty()) {
+                World.Out out = List.copyOf(world.out.values()).get(r.nextInt(world.out.size()));
+                world.dispatcher.progressed(out.command().id(), out.number() - r.nextInt(2), r.nextDouble(), world.now);
+                world.follow();
             } else if (what < 99 && !seen.isEmpty()) {
                 depart(List.copyOf(seen.values()).get(r.nextInt(seen.size())));
             }
@@ -185,6 +189,8 @@
         for (World.Out out : List.copyOf(world.out.values())) {
             if (!world.now.before(out.at().plus(out.timeout()))) {
                 end(out, Ending.TIMED_OUT);
+            } else if (world.callOffs.remove(out.command().id())) {
+                end(out, Ending.CANCELLED);
             }
         }
     }
--- a/src/test/java/cobaltseam/dispatch/World.java
+++ b/src/test/java/cobaltseam/dispatch/World.java
@@ -25,14 +25,14 @@
     static final Span TICK = new Span(5_000);
     static final Rules RULES = new Rules(0.3, new Span(15_000_000), 2, new Span(3_000_000), new Span(400_000),
             null, null, null);
-    static final Means MEANS = new Means(TICK, 4, false, true, false, false, 0.4, true, new Span(500_000));
+    static final Means MEANS = new Means(TICK, 4, false, true, false, false, 0.4, true, new Span(500_000), true);
 
     final Dispatcher dispatcher;
     Moment now = new Moment(1_000_000);
     final Map<CommandId, Out> out = new LinkedHashMap<>();
     final Map<CommandId, Placement> finals = new LinkedHashMap<>();
     final List<Out> sends = new ArrayList<>();
-    final List<EngineId> probes = new ArrayList<>();
+    final List<CommandId> callOffs = new ArrayList<>();
     Span wait;
     /** Told of each send and each final answer as it is said. */
     Consumer<Out> onSend = out -> { };
@@ -120,8 +120,8 @@
             if (wait == null || wait.isPositive()) {
                 return;
             }
-            if (pause.probe() != null) {
-                probes.add(pause.probe());
+            if (pause.callOff() >= 0) {
+                callOffs.add(pause.command().id());
             } else {
                 note(pause.command(), dispatcher.place(pause.command(), now));
             }
