--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -48,6 +48,8 @@
     private static final double WORST_RATIO = 16;
     /** A send may take this many times its expected latency before it is given up for another. */
     private static final double PATIENCE = 2.5;
+    /** A send whose progress projects to this multiple of its latency, as its engine goes, has a bad plan. */
+    private static final double BAD_PLAN = 5;
     /** And never less than this part of the latency target: small commands meet pauses and handshakes too. */
     private static final double LEAST_PATIENCE = 0.25;
     /** Past its latency target by this ratio a send without late benefit is of no more use. */
@@ -437,8 +439,8 @@
 
     /**
      * How far a send is. Guards against bad plans, and against cutting what is merely slow: it is called
-     * off at once if at this pace a new send would be done in half the time that it still needs, and
-     * otherwise given that time. Harm: a rough note that is far too low costs the work done.
+     * off at once if all of it would take BAD_PLAN times its usual latency at the engine's pace, and else
+     * given the time that it still needs. Harm: a rough note that is far too low costs the work done.
      */
     public void progressed(CommandId id, int send, double share, Moment now) {
         Cmd cmd = open.get(id);
@@ -447,8 +449,9 @@
             return;
         }
         Span rest = now.since(sent.at).times((1 - Math.min(1, share)) / share);
-        boolean worse = rest.compareTo(expected(cmd).times(2)) > 0;
-        sent.cutAt = worse ? now : now.plus(rest.times(PATIENCE));
+        double pace = Math.max(this.pace, Math.exp(sent.engine.slow));
+        boolean bad = now.since(sent.at).plus(rest).compareTo(usually(cmd).times(BAD_PLAN * pace)) > 0;
+        sent.cutAt = bad ? now : now.plus(rest.times(PATIENCE));
         cuts.add(sent);
     }
 
