--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -568,6 +568,7 @@
         Moment last = cmd.command.clientTimeout().minus(margin);
         Span expected = expected(cmd);
         Moment use = last.minus(expected);
+        use = use.before(cmd.takenAt) ? last : use;
         if (cmd.sends == 0) {
             // Guards against a queue that hands on every command just too late to be answered in time.
             use = earlier(use, cmd.takenAt.plus(cmd.targetAt.since(cmd.takenAt).times(HOLD_PER_TARGET)));
@@ -575,7 +576,7 @@
         if (cmd.way.lateBenefit == 0) {
             use = earlier(use, cmd.targetAt.minus(expected));
         }
-        return use.before(cmd.takenAt) ? last : use;
+        return use;
     }
 
     private static Moment earlier(Moment a, Moment b) {
