--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -57,8 +57,6 @@
     /** The shortest latency target over these: time between redraws, time after which evidence halves. */
     private static final double DRAWS_PER_TARGET = 8;
     private static final double FADE_IN_TARGETS = 4;
-    /** A command is held for this part of its latency target at most; the rest is for its sends. */
-    private static final double HOLD_PER_TARGET = 0.5;
     /** The queue up to a command may take this part of the time that it can wait, before one is shed. */
     private static final double QUEUE_PER_SLACK = 0.3;
     /** Memory that a command counts for, over its estimate: what an engine grants by itself. */
@@ -567,20 +565,12 @@
     private Moment giveUpAt(Cmd cmd) {
         Moment last = cmd.command.clientTimeout().minus(margin);
         Span expected = expected(cmd);
-        Moment use = last.minus(expected);
-        use = use.before(cmd.takenAt) ? last : use;
-        if (cmd.sends == 0) {
-            // Guards against a queue that hands on every command just too late to be answered in time.
-            use = earlier(use, cmd.takenAt.plus(cmd.targetAt.since(cmd.takenAt).times(HOLD_PER_TARGET)));
+        if (cmd.way.lateBenefit > 0) {
+            Moment late = last.minus(expected);
+            return late.before(cmd.takenAt) ? last : late;
         }
-        if (cmd.way.lateBenefit == 0) {
-            use = earlier(use, cmd.targetAt.minus(expected));
-        }
-        return use;
-    }
-
-    private static Moment earlier(Moment a, Moment b) {
-        return a.before(b) ? a : b;
+        Moment inTime = cmd.targetAt.minus(expected);
+        return inTime.before(last) ? inTime : last;
     }
 
     private boolean lost(Cmd cmd, Moment now) {
