--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -672,7 +672,7 @@
                 double step = ratio > 1 ? USUAL_QUANTILE - 1 : USUAL_QUANTILE;
                 way.usual *= Math.exp(-step * Math.max(USUAL_STEP, 1.0 / ++way.answers));
             }
-            case TIMED_OUT -> {
+            case TIMED_OUT, CANCELLED -> {
                 e.slow += Math.max(0, Math.log(ratio) - e.slow) * NEWS;
                 fallBack(sent);
             }
