--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -748,7 +748,7 @@
         pace = Math.exp(pool);
         for (int i = 0; i < slow.length; i++) {
             double lag = Math.max(0, slow[i] - pool - Math.log(2));
-            double strain = Math.max(0.5, Math.min(1, Math.exp(2 * (Math.log(NEAR) - slow[i]))));
+            double strain = Math.max(0.5, Math.min(1, Math.exp(Math.log(NEAR) - slow[i])));
             sorted.get(i).health = strain * Math.exp(-2 * lag) * Math.pow(1 - sorted.get(i).failing, 4);
         }
     }
