--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -59,6 +59,9 @@
     private static final double FADE_IN_TARGETS = 4;
     /** The queue up to a command may take this part of the time that it can wait, before one is shed. */
     private static final double QUEUE_PER_SLACK = 0.3;
+    /** What a holder may send beyond its portion of this dispatcher's usual traffic before it is over. */
+    private static final double SHARE_SLACK = 1.25;
+    private static final double SECOND_US = 1e6;
     /** Memory that a command counts for, over its estimate: what an engine grants by itself. */
     private static final double ROOM_PER_MEMORY = 1.25;
     /** Of what a cold engine may be sent at most, at one thread's work a core, this part is used. */
@@ -108,6 +111,7 @@
     private final Deque<Moment> further = new ArrayDeque<>();
     private final List<Ghost> ghosts = new ArrayList<>();
     private long arrivals;
+    private Moment born;
 
     /** One profile: the few figures that decisions use, and what its commands have shown. */
     private static final class Way {
@@ -503,7 +507,7 @@
     /** Room for the profile's threads, or, where the budget is below them, the draw of the moment. */
     private boolean fits(Engine e, Cmd cmd, Moment now) {
         int threads = cmd.way.threads;
-        double times = 1 + (dispatchers - 1) * e.borrowed[cmd.way.index];
+        double times = cmd.overShare ? 1 : 1 + (dispatchers - 1) * e.borrowed[cmd.way.index];
         double budget = share(e, now) * times;
         if (budget < threads) {
             return e.threads == 0 && e.draw < budget / threads;
@@ -574,7 +578,8 @@
     }
 
     private boolean lost(Cmd cmd, Moment now) {
-        return cmd.drop || !repeatable(cmd, now) || !now.before(cmd.giveUpAt);
+        // Guards against one holder's flood: over its share it is worth little, and goes first under strain.
+        return cmd.drop || cmd.overShare && pace > NEAR || !repeatable(cmd, now) || !now.before(cmd.giveUpAt);
     }
 
     /**
@@ -795,12 +800,13 @@
                 .plus(new Span(Math.round(cmd.way.stretch * work(cmd) / cmd.way.threads)));
         Holder holder = holders.get(command.share());
         if (holder != null) {
-            if (holder.filled != null) {
-                double second = now.since(holder.filled).us() / 1e6;
-                holder.tokens = Math.min(holder.perSecond, holder.tokens + holder.perSecond * second);
-            } else {
-                holder.tokens = holder.perSecond;
-            }
+            // Its even part of the share, or, where this dispatcher carries more than most, its portion of
+            // what usually comes here.
+            born = born == null ? now : born;
+            double usual = arrivals / Math.max(1, now.since(born).us() / SECOND_US);
+            double rate = Math.max(holder.perSecond, holder.portion * usual * SHARE_SLACK);
+            double seconds = holder.filled == null ? 1 : now.since(holder.filled).us() / SECOND_US;
+            holder.tokens = Math.min(rate, holder.tokens + rate * seconds);
             holder.filled = now;
             cmd.overShare = holder.tokens < 1;
             holder.tokens -= cmd.overShare ? 0 : 1;
--- a/src/test/java/cobaltseam/dispatch/DesignTest.java
+++ b/src/test/java/cobaltseam/dispatch/DesignTest.java
@@ -162,4 +162,85 @@
         assertTrue(w.finals.get(heavy.id()).comeBack().isPositive());
         assertTrue(w.finals.size() < 30);
     }
+
+    @Test
+    void aHoldersFloodNeitherBorrowsNorOutlastsStrain() {
+        World w = world(0, 4, 1, 4);
+        answer(w, 60, WORK);
+        int before = w.sends.size();
+        for (int i = 0; i < 40; i++) {
+            w.take("p", WORK);
+        }
+        assertTrue(w.sends.size() - before > 4, "what is within its share borrows");
+        w.pass(new Span(8 * WORK));
+        List.copyOf(w.out.values()).forEach(o -> w.end(o, Ending.ANSWERED, true));
+        int finals = w.finals.size();
+        for (int i = 0; i < 400; i++) {
+            w.take("p", WORK);
+        }
+        assertTrue(w.finals.size() - finals > 300, "over the share and under strain it is shed at once");
+    }
+
+    @Test
+    void aBadPlanIsCalledOffAndSlowWorkIsNot() {
+        World w = world(0, 2, 1, 4, 5);
+        answer(w, 30, WORK);
+        Command bad = w.take("p", WORK);
+        Command slow = w.take("p", WORK);
+        w.pass(new Span(WORK));
+        w.dispatcher.progressed(bad.id(), 0, 0.05, w.now);
+        w.dispatcher.progressed(slow.id(), 0, 0.4, w.now);
+        w.follow();
+        assertEquals(List.of(bad.id()), w.callOffs);
+        w.end(w.out.get(bad.id()), Ending.CANCELLED, false);
+        assertTrue(w.out.containsKey(bad.id()), "and sent again");
+    }
+
+    @Test
+    void heavyMemoryWaitsWhileThreadsAreFree() {
+        World w = world(0, 2, 1, 4);
+        for (int i = 0; i < 4; i++) {
+            w.take(new Command(new CommandId("m" + i), new ProfileId("p"), null, null,
+                    w.now.plus(new Span(4_500_000)), new Span(WORK), 3000, null));
+        }
+        assertEquals(2, w.out.size(), "of 8 GB for this dispatcher");
+    }
+
+    @Test
+    void workThatATimeOutDoesNotStopStaysCounted() {
+        World w = new World(World.deployment(0, 4, World.RULES, new Deployment.Means(World.TICK, 4, false, false, false,
+                false, 0.4, true, Span.ZERO, false), World.profile("p", 1)), 7);
+        w.list(true, World.up(4));
+        for (int i = 0; i < 4; i++) {
+            w.take("p", WORK);
+        }
+        w.pass(new Span(3 * WORK));
+        w.end(w.out.values().iterator().next(), Ending.TIMED_OUT, true);
+        List.copyOf(w.out.values()).forEach(o -> w.end(o, Ending.NEVER_SENT, true));
+        for (int i = 0; i < 4; i++) {
+            w.take("p", WORK);
+        }
+        assertEquals(3, w.out.size(), "one thread may still be in use");
+        w.pass(new Span(3 * WORK));
+        List.copyOf(w.out.values()).forEach(o -> w.end(o, Ending.NEVER_SENT, true));
+        for (int i = 0; i < 4; i++) {
+            w.take("p", WORK);
+        }
+        assertEquals(4, w.out.size());
+    }
+
+    @Test
+    void aReturnedEngineIsNotFlooded() {
+        World w = world(0, 2, 1, 5);
+        answer(w, 30, WORK);
+        w.list(false, World.listing(4, Listing.Standing.UP, w.now.us()));
+        int at = w.sends.size();
+        for (int i = 0; i < 20; i++) {
+            w.take("p", WORK);
+        }
+        assertTrue(engines(w).stream().skip(at).noneMatch(e -> e == 4), "nothing is saved up at the start");
+        w.pass(new Span(1_000_000));
+        answer(w, 30, WORK);
+        assertTrue(engines(w).stream().skip(at).anyMatch(e -> e == 4), "and it is used as it warms");
+    }
 }
