--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -65,7 +65,7 @@
     /** Memory that a command counts for, over its estimate: what an engine grants by itself. */
     private static final double ROOM_PER_MEMORY = 1.25;
     /** Of what a cold engine may be sent at most, at one thread's work a core, this part is used. */
-    private static final double COLD_CAUTION = 0.5;
+    private static final double COLD_CAUTION = 0.7;
 
     // ---- state that lives as long as the instance
 
@@ -736,8 +736,8 @@
             if (cold(e, now)) {
                 // Guards against pushing over an engine that has just started. The allowance comes
                 // evenly over the window, from nothing, and one command of the heaviest profile is
-                // the most that can be saved up; the growth that can't be seen counts half.
-                double grown = 1 + (1 / coldFrom - 1) * now.since(e.started).over(warmWithin) / 2;
+                // the most that can be saved up; growth is taken to be even and as late as it may be.
+                double grown = 1 + (1 / coldFrom - 1) * now.since(e.started).over(warmWithin);
                 double allowance = e.cores * coldWorkPerCore * grown;
                 double most = allowance / 2;
                 for (Way w : ways.values()) {
