--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -110,6 +110,8 @@
     private final Deque<Moment> taken = new ArrayDeque<>();
     private final Deque<Moment> further = new ArrayDeque<>();
     private final List<Ghost> ghosts = new ArrayList<>();
+    /** Threads of a command on its engine, by time spent there. */
+    private double meanThreads = 1;
     private long arrivals;
     private Moment born;
 
@@ -157,6 +159,8 @@
         /** Threads this dispatcher counts there, of sends without outcome and of work left behind. */
         int threads;
         double memoryOutMb;
+        /** Commands in hand there, of all dispatchers, as last reported; below zero if never. */
+        double inHand = -1;
         final List<Sent> out = new ArrayList<>();
         /** Per profile: how much of the other dispatchers' budget may be borrowed, from 0 to 1. */
         double[] borrowed;
@@ -412,6 +416,7 @@
                 e.slow = 0;
                 e.failing = 0;
                 Arrays.fill(e.borrowed, 0);
+                e.inHand = -1;
             }
         }
         for (Engine e : engines.values()) {
@@ -515,10 +520,20 @@
         // Guards against mixes that pass an engine's peak while all dispatchers keep to their threads:
         // commands heavy on memory, which spill or wait there. Harm: where estimates lie too high,
         // engines are left with room.
-        return budget - e.threads >= threads && (e.memoryOutMb == 0 || e.memoryMb == 0
+        return budget - e.threads >= threads && (e.threads + threads <= share(e, now) || roomForAll(e, threads, now))
+                && (e.memoryOutMb == 0 || e.memoryMb == 0
                 || e.memoryOutMb + memory(cmd, e) <= e.memoryMb / dispatchers * times);
     }
 
+    /**
+     * Whether an engine's whole figure has room, by the commands that it last reported in hand. Guards
+     * against all dispatchers borrowing the same room; where nothing is reported, answers alone tell.
+     */
+    private boolean roomForAll(Engine e, int threads, Moment now) {
+        double others = Math.max(0, e.inHand - e.out.size()) * meanThreads;
+        return e.inHand < 0 || e.threads + others + threads <= e.whole * e.health * warmth(e, now);
+    }
+
     private double memory(Cmd cmd, Engine e) {
         return Math.min(grantCap * e.memoryMb, cmd.command.memoryMb() * ROOM_PER_MEMORY);
     }
@@ -663,6 +678,8 @@
         } else {
             e.threads -= way.threads;
         }
+        e.inHand = outcome.inHand() >= 0 ? outcome.inHand() : e.inHand;
+        meanThreads += (way.threads - meanThreads) * Math.min(1, took.over(shortestTarget)) * NEWS;
         double ratio = Math.max(1.0 / WORST_RATIO, Math.min(WORST_RATIO, took.over(sent.expected)));
         switch (outcome.ending()) {
             case ANSWERED -> {
