--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -36,9 +36,9 @@
     /** The design's figure: threads an engine is given for each of its cores. */
     private static final double THREADS_PER_CORE = 2;
     /** An answer within this multiple of its usual latency lets its threads be borrowed once more. */
-    private static final double NEAR = 1.5;
+    private static final double NEAR = 1.25;
     /** One beyond this, or no answer for as long, gives half of what is borrowed back. */
-    private static final double SLOW = 2;
+    private static final double SLOW = 1.75;
     /** How much one answer moves an engine's remembered slowness or failures. */
     private static final double NEWS = 1.0 / 8;
     /** The usual latency of a profile is this quantile of its answers, followed in steps that end here. */
