--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -531,7 +531,7 @@
      */
     private boolean roomForAll(Engine e, int threads, Moment now) {
         double others = Math.max(0, e.inHand - e.out.size()) * meanThreads;
-        return e.inHand < 0 || e.threads + others + threads <= 0.7 * e.whole * e.health * warmth(e, now);
+        return e.inHand < 0 || e.threads + others + threads <= e.whole * e.health * warmth(e, now);
     }
 
     private double memory(Cmd cmd, Engine e) {
