Take out the lag, silence and memory guards; milder failures; work learned without estimates

Without estimates a profile's usual work now comes from its answers, so the cold guard holds there too.

--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -24,8 +24,8 @@
 /**
  * All decisions of one dispatcher. Callers hand a new command to {@link #place}, each outcome to
  * {@link #after}, and after every call follow {@link #pause} until it names a span to wait; other
- * news comes by {@link #listed} and {@link #departed}. The values that pass are the records beside
- * this file. An instance knows only its own traffic and shares nothing.
+ * news comes by {@link #listed}, {@link #progressed} and {@link #departed}. The values that pass are
+ * the records beside this file. An instance knows only its own traffic and shares nothing.
  *
  * <p>The ordinary path: each engine has a thread budget of two threads a core, split evenly over the
  * dispatchers. A command goes where most budget is left per core and waits, first come first served,
@@ -39,6 +39,10 @@
     private static final double NEAR = 1.25;
     /** One beyond this, or no answer for as long, gives half of what is borrowed back. */
     private static final double SLOW = 1.75;
+    /** Strain leaves an engine this part of its share, one thread a core. */
+    private static final double LEAST_SHARE = 0.5;
+    /** An engine gets the share of its answers that do not fail, to this power. */
+    private static final double FAILING_POWER = 2;
     /** How much one answer moves an engine's remembered slowness or failures. */
     private static final double NEWS = 1.0 / 8;
     /** The usual latency of a profile is this quantile of its answers, followed in steps that end here. */
@@ -48,10 +52,10 @@
     private static final double WORST_RATIO = 16;
     /** A send may take this many times its expected latency before it is given up for another. */
     private static final double PATIENCE = 2.5;
-    /** A send whose progress projects to this multiple of its latency, as its engine goes, has a bad plan. */
-    private static final double BAD_PLAN = 5;
     /** And never less than this part of the latency target: small commands meet pauses and handshakes too. */
     private static final double LEAST_PATIENCE = 0.25;
+    /** A send whose progress projects to this multiple of its latency, as its engine goes, has a bad plan. */
+    private static final double BAD_PLAN = 5;
     /** Past its latency target by this ratio a send without late benefit is of no more use. */
     private static final double TARGET_SLACK = 1.25;
     /** The shortest latency target over these: time between redraws, time after which evidence halves. */
@@ -62,8 +66,6 @@
     /** What a holder may send beyond its portion of this dispatcher's usual traffic before it is over. */
     private static final double SHARE_SLACK = 1.25;
     private static final double SECOND_US = 1e6;
-    /** Memory that a command counts for, over its estimate: what an engine grants by itself. */
-    private static final double ROOM_PER_MEMORY = 1.25;
     /** Of what a cold engine may be sent at most, at one thread's work a core, this part is used. */
     private static final double COLD_CAUTION = 0.7;
 
@@ -90,7 +92,6 @@
     private final Span furtherWindow;
     private final Map<ProfileId, Way> ways = new HashMap<>();
     private final Map<KindId, Deployment.Kind> kinds = new HashMap<>();
-    private final double grantCap;
     private final Map<ShareId, Holder> holders = new HashMap<>();
     private final RandomGenerator chance;
     private final TreeMap<EngineId, Engine> engines = new TreeMap<>();
@@ -135,6 +136,7 @@
         double usual = 1;
         long answers;
         double usualWork;
+        long known;
     }
 
     /** One holder of a share: what it may send before it counts as over its share. */
@@ -155,10 +157,8 @@
         Moment started;
         double cores;
         double whole;
-        double memoryMb;
         /** Threads this dispatcher counts there, of sends without outcome and of work left behind. */
         int threads;
-        double memoryOutMb;
         /** Commands in hand there, of all dispatchers, as last reported; below zero if never. */
         double inHand = -1;
         final List<Sent> out = new ArrayList<>();
@@ -168,7 +168,6 @@
         double slow;
         double failing;
         Moment judged;
-        Moment heard;
         double draw;
         Moment drawn;
         /** Work that a cold engine may still be sent. */
@@ -211,7 +210,6 @@
         /** When it is called off, if its progress may still change that. */
         Moment cutAt;
         Span expected;
-        double memoryMb;
         boolean slow;
     }
 
@@ -233,7 +231,6 @@
         cancels = told.means().cancels();
         tellsProgress = told.means().tellsProgress() && cancels;
         priorities = told.means().priorities();
-        grantCap = told.means().grantCap();
         margin = told.means().tick().times(2);
         longestComeBack = told.means().comeBack() ? told.means().longestComeBack() : Span.ZERO;
         overShareWorth = told.overShareWorth();
@@ -278,6 +275,7 @@
         w.target = p.latencyTarget();
         w.clientTimeout = p.clientTimeout();
         w.stretch = p.stretch();
+        w.usualWork = w.threads * w.target.us() / PATIENCE;
         w.repeat = p.repeat();
         w.scope = p.scope();
         w.remembered = p.remembered();
@@ -403,7 +401,6 @@
             e.group = line.group();
             Deployment.Kind kind = kinds.get(line.kind());
             e.cores = kind == null ? 1 : kind.cores();
-            e.memoryMb = kind == null ? 0 : kind.memoryMb();
             e.whole = e.cores * THREADS_PER_CORE;
             e.standing = closed.contains(line.engine()) && line.standing() == Standing.UP
                     ? Standing.DRAINING : line.standing();
@@ -432,7 +429,7 @@
     boolean idle() {
         return open.isEmpty() && held.isEmpty() && engines.values().stream()
                 .allMatch(e -> e.threads == ghosts.stream().filter(g -> g.engine() == e)
-                        .mapToInt(Ghost::threads).sum() && e.out.isEmpty() && e.memoryOutMb == 0);
+                        .mapToInt(Ghost::threads).sum() && e.out.isEmpty());
     }
 
     private Engine fresh(EngineId id, Moment now) {
@@ -440,7 +437,6 @@
         e.id = id;
         e.borrowed = new double[ways.size()];
         e.judged = now;
-        e.heard = now;
         e.drawn = now;
         e.draw = chance.nextDouble();
         return e;
@@ -517,12 +513,8 @@
         if (budget < threads) {
             return e.threads == 0 && e.draw < budget / threads;
         }
-        // Guards against mixes that pass an engine's peak while all dispatchers keep to their threads:
-        // commands heavy on memory, which spill or wait there. Harm: where estimates lie too high,
-        // engines are left with room.
-        return budget - e.threads >= threads && (e.threads + threads <= share(e, now) || roomForAll(e, threads, now))
-                && (e.memoryOutMb == 0 || e.memoryMb == 0
-                || e.memoryOutMb + memory(cmd, e) <= e.memoryMb / dispatchers * times);
+        return budget - e.threads >= threads
+                && (e.threads + threads <= share(e, now) || roomForAll(e, threads, now));
     }
 
     /**
@@ -534,10 +526,6 @@
         return e.inHand < 0 || e.threads + others + threads <= e.whole * e.health * warmth(e, now);
     }
 
-    private double memory(Cmd cmd, Engine e) {
-        return Math.min(grantCap * e.memoryMb, cmd.command.memoryMb() * ROOM_PER_MEMORY);
-    }
-
     /** This dispatcher's even share of an engine's figure, as far as the engine is well and warm. */
     private double share(Engine e, Moment now) {
         return e.whole / dispatchers * e.health * warmth(e, now);
@@ -568,11 +556,7 @@
 
     /** Latency to expect at usual speed. */
     private static Span usually(Cmd cmd) {
-        double work = work(cmd);
-        if (work <= 0) {
-            return cmd.way.target.times(1 / PATIENCE);
-        }
-        return new Span(1 + Math.round(work / cmd.way.threads * cmd.way.usual));
+        return new Span(1 + Math.round(work(cmd) / cmd.way.threads * cmd.way.usual));
     }
 
     /** Latency to expect at the pace at which the engines answer now. */
@@ -651,8 +635,6 @@
         }
         e.out.add(sent);
         e.threads += cmd.way.threads;
-        sent.memoryMb = memory(cmd, e);
-        e.memoryOutMb += sent.memoryMb;
         if (cold(e, now)) {
             e.coldWork -= cmd.way.usualWork;
         }
@@ -667,7 +649,6 @@
         if (sent.cutAt != null) {
             cuts.remove(sent);
         }
-        e.memoryOutMb = e.out.isEmpty() ? 0 : e.memoryOutMb - sent.memoryMb;
         e.draw = chance.nextDouble();
         e.drawn = now;
         fade(e, now);
@@ -683,8 +664,11 @@
         double ratio = Math.max(1.0 / WORST_RATIO, Math.min(WORST_RATIO, took.over(sent.expected)));
         switch (outcome.ending()) {
             case ANSWERED -> {
-                e.heard = now;
                 e.failing -= e.failing * NEWS;
+                if (!sent.cmd.command.work().isPositive()) {
+                    learnWork(way, outcome.workDone().isPositive() ? outcome.workDone().us()
+                            : (double) way.threads * took.us());
+                }
                 e.slow += (Math.log(ratio) - e.slow) * NEWS;
                 if (ratio <= NEAR) {
                     e.borrowed[way.index] = Math.min(1, e.borrowed[way.index] + way.threads / e.whole);
@@ -721,10 +705,12 @@
     }
 
     /**
-     * Brings what changes with time up to this moment. An engine's health cuts its budget, down to the
-     * design's own chance sends. It guards against engines that answer slower than the rest, stay
-     * silent, or fail quickly and would draw all commands by being always free; harm: a sound engine
-     * that was unlucky gets less until the evidence fades.
+     * Brings what changes with time up to this moment. An engine's health cuts its share: by strain,
+     * which guards against mixes that pass its peak while all dispatchers keep to their budgets, and
+     * against slow-downs of any cause; by failures, which guards against an engine that fails quickly and
+     * would draw all commands by being always free, down to the design's own chance sends. Harm: an
+     * engine slowed from outside could do more; a sound one that was unlucky gets less until that fades.
+     * Silent engines need no guard of their own: their budget fills with what they do not answer.
      */
     private void refresh(Moment now) {
         if (now.equals(refreshed)) {
@@ -745,7 +731,9 @@
                     fallBack(sent);
                 }
             }
-            slow[i] = Math.max(e.slow, silence(e, now));
+            slow[i] = e.slow;
+            double strain = Math.min(1, Math.max(LEAST_SHARE, NEAR / Math.exp(e.slow)));
+            e.health = strain * Math.pow(1 - e.failing, FAILING_POWER);
             if (now.since(e.drawn).compareTo(redraw()) >= 0) {
                 e.draw = chance.nextDouble();
                 e.drawn = now;
@@ -760,40 +748,13 @@
                 for (Way w : ways.values()) {
                     most = Math.max(most, w.usualWork);
                 }
-                e.coldWork = Math.min(most, e.coldWork + allowance * now.since(e.coldFilled).over(fallWindow));
+                double come = allowance * now.since(e.coldFilled).over(fallWindow);
+                e.coldWork = Math.min(most, e.coldWork + come);
                 e.coldFilled = now;
             }
         }
-        double[] ranked = slow.clone();
-        Arrays.sort(ranked);
-        double pool = slow.length == 0 ? 0 : Math.max(0, ranked[(slow.length - 1) / 2]);
-        pace = Math.exp(pool);
-        for (int i = 0; i < slow.length; i++) {
-            double lag = Math.max(0, slow[i] - pool - Math.log(2));
-            double strain = Math.max(0.5, Math.min(1, Math.exp(Math.log(NEAR) - slow[i])));
-            sorted.get(i).health = strain * Math.exp(-2 * lag) * Math.pow(1 - sorted.get(i).failing, 4);
-        }
-    }
-
-    /** The logarithm of how overdue an engine's answers are, of two sends or more. */
-    private double silence(Engine e, Moment now) {
-        if (e.out.size() < 2) {
-            return 0;
-        }
-        long first = Long.MAX_VALUE;
-        long second = Long.MAX_VALUE;
-        Moment since = e.heard;
-        for (Sent s : e.out) {
-            long us = Math.max(s.at.us(), since.us()) + s.expected.us();
-            if (us < first) {
-                second = first;
-                first = us;
-            } else if (us < second) {
-                second = us;
-            }
-        }
-        double late = now.us() - second;
-        return late <= 0 ? 0 : Math.log(Math.min(WORST_RATIO, 1 + late / (second - e.heard.us() + 1)));
+        Arrays.sort(slow);
+        pace = slow.length == 0 ? 1 : Math.exp(Math.max(0, slow[(slow.length - 1) / 2]));
     }
 
     // ---- overload
@@ -809,9 +770,9 @@
         cmd.turn = arrivals++;
         cmd.takenAt = now;
         // An estimate beyond all that its client waits for is no guide to what is usual.
-        double work = Math.min(command.work().us(), (double) cmd.way.threads * cmd.way.clientTimeout.us());
-        if (work > 0) {
-            cmd.way.usualWork += (work - cmd.way.usualWork) * (cmd.way.usualWork == 0 ? 1 : NEWS / 4);
+        if (command.work().isPositive()) {
+            double most = (double) cmd.way.threads * cmd.way.clientTimeout.us();
+            learnWork(cmd.way, Math.min(command.work().us(), most));
         }
         cmd.targetAt = now.plus(cmd.way.target)
                 .plus(new Span(Math.round(cmd.way.stretch * work(cmd) / cmd.way.threads)));
@@ -838,6 +799,11 @@
         return cmd;
     }
 
+    /** Without estimates, what answers took tells the usual work of a profile. */
+    private static void learnWork(Way way, double work) {
+        way.usualWork += (work - way.usualWork) * Math.max(NEWS / 4, 1.0 / ++way.known);
+    }
+
     private void hold(Cmd cmd) {
         cmd.giveUpAt = giveUpAt(cmd);
         cmd.threadTime = cmd.way.threads * (double) expected(cmd).us();
@@ -908,7 +874,8 @@
         if (cmd.mayHaveRunSince == null || cmd.way.repeat == Repeat.REPLAYABLE) {
             return true;
         }
-        return cmd.way.repeat == Repeat.UNIQUED && now.since(cmd.mayHaveRunSince).compareTo(cmd.way.remembered) < 0;
+        return cmd.way.repeat == Repeat.UNIQUED
+                && now.since(cmd.mayHaveRunSince).compareTo(cmd.way.remembered) < 0;
     }
 
     /** Whether a command with a key has its turn: first in line, and the key rested. */
