--- a/src/main/java/cobaltseam/adapter/Fields.java
+++ b/src/main/java/cobaltseam/adapter/Fields.java
@@ -126,7 +126,8 @@
 
     Fields object(String name) {
         Map<String, Object> read = new LinkedHashMap<>();
-        as(Map.class, name, "an object").forEach((k, v) -> read.put((String) k, v));
+        Map<?, ?> object = as(Map.class, name, "an object");
+        object.forEach((k, v) -> read.put((String) k, v));
         return new Fields(name, read);
     }
 
