--- a/src/main/java/cobaltseam/adapter/DeploymentReader.java
+++ b/src/main/java/cobaltseam/adapter/DeploymentReader.java
@@ -24,12 +24,10 @@
             profiles.add(profile(f, index < threads.size() ? threads.get(index).intValue() : 1));
         }
         List<Double> cores = family.numbers("cores_by_kind");
-        List<Double> memory = family.numbers("ram_of_kind_mb");
         List<Deployment.Kind> kinds = new ArrayList<>();
         for (String kind : told.texts("machine_types")) {
             int index = kinds.size();
-            kinds.add(new Deployment.Kind(new KindId(kind), index < cores.size() ? cores.get(index) : 1,
-                    index < memory.size() ? memory.get(index) : 0));
+            kinds.add(new Deployment.Kind(new KindId(kind), index < cores.size() ? cores.get(index) : 1));
         }
         List<Deployment.Share> shares = new ArrayList<>();
         if (told.has("projects")) {
@@ -76,8 +74,7 @@
 
     private static Deployment.Means means(Fields told, Fields limits, Fields family) {
         return new Deployment.Means(span(told, "tick_us"), (int) limits.whole("most_tries", 1),
-                limits.flag("probes"), limits.flag("cancel"), family.flag("takes_grants"),
-                family.flag("ranks_heeded"), family.number("grant_cap", 1), limits.flag("retry_after"),
+                limits.flag("cancel"), family.flag("ranks_heeded"), limits.flag("retry_after"),
                 new Span(limits.whole("max_retry_after_us", 0)), family.whole("tells_every_us", 0) > 0);
     }
 
--- a/src/main/java/cobaltseam/adapter/Instance.java
+++ b/src/main/java/cobaltseam/adapter/Instance.java
@@ -71,7 +71,7 @@
         Command command = new Command(new CommandId(f.text("op_id")), new ProfileId(f.text("kind")),
                 share == null || share.equals("0") ? null : new ShareId(share),
                 f.has("order_key") ? new OrderKey(f.text("order_key")) : null, new Moment(f.whole("due_us")),
-                new Span(hint ? f.whole("guess_us", 0) : 0), f.number("mem_mb", 0),
+                new Span(hint ? f.whole("guess_us", 0) : 0),
                 f.has("table_group") ? new DataSetId((long) f.number("table_group")) : null);
         write(command.id(), dispatcher.place(command, now));
     }
@@ -175,11 +175,10 @@
     private void write(CommandId id, Placement p) {
         switch (p.verdict()) {
             case SEND -> {
-                if (p.grantMb() > 0 || p.priority() >= 0) {
+                if (p.priority() >= 0) {
                     add("provide", out -> {
                         out.writeStringField("op_id", id.value());
-                        out.writeNumberField("grant_mb", p.grantMb());
-                        out.writeNumberField("rank", p.priority() < 0 ? 1 : p.priority());
+                        out.writeNumberField("rank", p.priority());
                     });
                 }
                 add("try", out -> {
--- a/src/main/java/cobaltseam/dispatch/Deployment.java
+++ b/src/main/java/cobaltseam/dispatch/Deployment.java
@@ -23,7 +23,7 @@
     }
 
     /** A kind of machine. */
-    public record Kind(KindId id, double cores, double memoryMb) {
+    public record Kind(KindId id, double cores) {
     }
 
     /** One holder's part of the service; the rate counts all dispatchers. */
@@ -36,8 +36,7 @@
     }
 
     /** What a dispatcher may do here, and how fine its clock is. */
-    public record Means(Span tick, int mostSends, boolean probes, boolean cancels, boolean grants,
-                        boolean priorities, double grantCap, boolean comeBack, Span longestComeBack,
-                        boolean tellsProgress) {
+    public record Means(Span tick, int mostSends, boolean cancels, boolean priorities, boolean comeBack,
+                        Span longestComeBack, boolean tellsProgress) {
     }
 }
--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -108,6 +108,8 @@
     private final TreeSet<Sent> cuts = new TreeSet<>(
             Comparator.comparingLong((Sent s) -> s.cutAt.us()).thenComparingLong(s -> s.cmd.turn));
     private final Map<OrderKey, Line> lines = new HashMap<>();
+    /** Keys whose last command has ended, to be forgotten once they have rested. */
+    private final Deque<OrderKey> emptied = new ArrayDeque<>();
     private final Deque<Moment> taken = new ArrayDeque<>();
     private final Deque<Moment> further = new ArrayDeque<>();
     private final List<Ghost> ghosts = new ArrayList<>();
@@ -638,7 +640,7 @@
         if (cold(e, now)) {
             e.coldWork -= cmd.way.usualWork;
         }
-        return Placement.send(e.id, timeout, 0, priorities ? cmd.way.priority : -1);
+        return Placement.send(e.id, timeout, priorities ? cmd.way.priority : -1);
     }
 
     /** A send is over: its threads are free, and its latency tells how its engine does. */
@@ -791,6 +793,12 @@
         }
         forget(now);
         taken.addLast(now);
+        while (!emptied.isEmpty() && rested(lines.get(emptied.peekFirst()), now)) {
+            OrderKey key = emptied.removeFirst();
+            if (lines.containsKey(key) && lines.get(key).queue.isEmpty()) {
+                lines.remove(key);
+            }
+        }
         open.put(command.id(), cmd);
         hold(cmd);
         if (cmd.way.inOrder && command.key() != null) {
@@ -884,8 +892,11 @@
             return true;
         }
         Line line = lines.get(cmd.command.key());
-        return line.queue.peekFirst() == cmd
-                && (cmd.sends > 0 || line.restUntil == null || !now.before(line.restUntil));
+        return line.queue.peekFirst() == cmd && (cmd.sends > 0 || rested(line, now));
+    }
+
+    private static boolean rested(Line line, Moment now) {
+        return line == null || line.restUntil == null || !now.before(line.restUntil);
     }
 
     private boolean furtherAllowed(Moment now) {
@@ -918,7 +929,11 @@
         unhold(cmd);
         open.remove(cmd.command.id());
         if (cmd.way.inOrder && cmd.command.key() != null) {
-            lines.get(cmd.command.key()).queue.remove(cmd);
+            Line line = lines.get(cmd.command.key());
+            line.queue.remove(cmd);
+            if (line.queue.isEmpty()) {
+                emptied.addLast(cmd.command.key());
+            }
         }
     }
 }
--- a/src/test/java/cobaltseam/dispatch/DesignTest.java
+++ b/src/test/java/cobaltseam/dispatch/DesignTest.java
@@ -198,8 +198,8 @@
 
     @Test
     void workThatATimeOutDoesNotStopStaysCounted() {
-        World w = new World(World.deployment(0, 4, World.RULES, new Deployment.Means(World.TICK, 4, false, false, false,
-                false, 0.4, true, Span.ZERO, false), World.profile("p", 1)), 7);
+        World w = new World(World.deployment(0, 4, World.RULES, new Deployment.Means(World.TICK, 4, false, false, true,
+                Span.ZERO, false), World.profile("p", 1)), 7);
         w.list(true, World.up(4));
         for (int i = 0; i < 4; i++) {
             w.take("p", WORK);
--- a/src/test/java/cobaltseam/dispatch/World.java
+++ b/src/test/java/cobaltseam/dispatch/World.java
@@ -25,7 +25,7 @@
     static final Span TICK = new Span(5_000);
     static final Rules RULES = new Rules(0.3, new Span(15_000_000), 2, new Span(3_000_000), new Span(400_000),
             null, null, null);
-    static final Means MEANS = new Means(TICK, 4, false, true, false, false, 0.4, true, new Span(500_000), true);
+    static final Means MEANS = new Means(TICK, 4, true, false, true, new Span(500_000), true);
 
     final Dispatcher dispatcher;
     Moment now = new Moment(1_000_000);
@@ -45,7 +45,7 @@
 
     static Deployment deployment(int number, int dispatchers, Rules rules, Means means, Profile... profiles) {
         return new Deployment(number, dispatchers, List.of(profiles),
-                List.of(new Kind(new KindId("k8"), 8, 16384), new Kind(new KindId("k4"), 4, 8192)),
+                List.of(new Kind(new KindId("k8"), 8), new Kind(new KindId("k4"), 4)),
                 List.of(new Share(new ShareId("a"), 60), new Share(new ShareId("b"), 20)), 0.05, rules, means);
     }
 
@@ -76,7 +76,7 @@
 
     Command command(String profile, String key, long workUs) {
         return new Command(new CommandId("c" + ids++), new ProfileId(profile), new ShareId(ids % 4 == 0 ? "b" : "a"),
-                key == null ? null : new OrderKey(key), now.plus(new Span(4_500_000)), new Span(workUs), 100, null);
+                key == null ? null : new OrderKey(key), now.plus(new Span(4_500_000)), new Span(workUs), null);
     }
 
     /** A new command of a profile, taken now. */
