--- a/src/main/java/cobaltseam/adapter/Instance.java
+++ b/src/main/java/cobaltseam/adapter/Instance.java
@@ -30,6 +30,7 @@
 
     private static final int HINT_VALID = 1;
     private static final int SHARE_DONE = 1;
+    private static final int GRANT_LEFT_TO_ENGINE = 0;
     private static final int NOTE_MEMORY_STEPS = 4096;
     private static final int NOTE_MEMORY_MB = 4;
 
@@ -178,6 +179,7 @@
                 if (p.priority() >= 0) {
                     add("provide", out -> {
                         out.writeStringField("op_id", id.value());
+                        out.writeNumberField("grant_mb", GRANT_LEFT_TO_ENGINE);
                         out.writeNumberField("rank", p.priority());
                     });
                 }
--- a/src/test/java/cobaltseam/adapter/AdapterTest.java
+++ b/src/test/java/cobaltseam/adapter/AdapterTest.java
@@ -51,7 +51,7 @@
                 batch(11000, verdict("a", "pass").replace("\"copy\"", "\"settled\":true,\"copy\"")),
                 batch(12000, verdict("a", "pass") + ",{\"withdrawn\":{\"op_id\":\"a\"}},{\"elapsed\":{\"name\":99}}"));
         assertEquals("{\"groups\":[]}", out.get(0));
-        assertTrue(out.get(1).startsWith("{\"groups\":[{\"dispatcher\":4,\"decisions\":[{\"provide\":{\"op_id\":\"a\""));
+        assertTrue(out.get(1).startsWith("{\"groups\":[{\"dispatcher\":4,\"decisions\":[{\"provide\":{\"op_id\":\"a\",\"grant_mb\":0,\"rank\":3}}"));
         assertTrue(out.get(1).contains("{\"try\":{\"op_id\":\"a\",\"node\":77,\"max_wait_us\":"));
         assertEquals("{\"groups\":[]}", out.get(2));
         assertEquals("{\"groups\":[]}", out.get(3));
--- a/src/test/java/cobaltseam/dispatch/World.java
+++ b/src/test/java/cobaltseam/dispatch/World.java
@@ -57,7 +57,7 @@
     static Profile profile(String name, int threads, Repeat repeat, Scope scope, boolean inOrder,
                            List<LocationId> locations, List<KindId> kinds) {
         return new Profile(new ProfileId(name), threads, 1, 0, new Span(1_000_000), 2, new Span(5_000_000),
-                repeat, scope, new Span(2_000_000), inOrder, locations, kinds);
+                repeat, scope, new Span(200_000), inOrder, locations, kinds);
     }
 
     static Listing up(long engine) {
