--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -170,6 +170,7 @@
         double slow;
         double failing;
         Moment judged;
+        Moment heard;
         double draw;
         Moment drawn;
         /** Work that a cold engine may still be sent. */
@@ -666,6 +667,7 @@
         double ratio = Math.max(1.0 / WORST_RATIO, Math.min(WORST_RATIO, took.over(sent.expected)));
         switch (outcome.ending()) {
             case ANSWERED -> {
+                e.heard = now;
                 e.failing -= e.failing * NEWS;
                 if (!sent.cmd.command.work().isPositive()) {
                     learnWork(way, outcome.workDone().isPositive() ? outcome.workDone().us()
@@ -683,6 +685,11 @@
             case TIMED_OUT, CANCELLED -> {
                 e.slow += Math.max(0, Math.log(ratio) - e.slow) * NEWS;
                 fallBack(sent);
+                if (ratio > SLOW && (e.heard == null || e.heard.before(sent.at))) {
+                    // Guards against an engine that hangs: cut sends free its budget, and it would draw
+                    // more. A bad plan does not count, where others were answered meanwhile.
+                    e.failing += (1 - e.failing) * NEWS;
+                }
             }
             case ERROR, CUT, UNREACHABLE, NO_ROOM -> e.failing += (1 - e.failing) * NEWS;
             default -> { }
@@ -712,7 +719,7 @@
      * against slow-downs of any cause; by failures, which guards against an engine that fails quickly and
      * would draw all commands by being always free, down to the design's own chance sends. Harm: an
      * engine slowed from outside could do more; a sound one that was unlucky gets less until that fades.
-     * Silent engines need no guard of their own: their budget fills with what they do not answer.
+     * A send cut while its engine answered nothing counts as failed.
      */
     private void refresh(Moment now) {
         if (now.equals(refreshed)) {
