--- a/src/main/java/cobaltseam/Main.java
+++ b/src/main/java/cobaltseam/Main.java
@@ -6,20 +6,31 @@
 import java.io.IOException;
 
 import cobaltseam.adapter.Adapter;
-import cobaltseam.adapter.BadInput;
+import cobaltseam.deployment.BadInput;
+import cobaltseam.service.Service;
 
 /** The command line: its one word names the wire to speak. */
 public final class Main {
+    private static final String LOG_FORMAT = "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n";
+
     private Main() {
     }
 
-    public static void main(String[] args) {
-        if (args.length != 1 || !args[0].equals("adapter")) {
-            System.err.println("usage: java -jar cobaltseam.jar adapter");
-            System.exit(2);
-        }
+    public static void main(String[] args) throws InterruptedException {
+        String wire = args.length == 1 ? args[0] : "";
         try {
-            new Adapter().run(new FileInputStream(FileDescriptor.in), new FileOutputStream(FileDescriptor.out));
+            switch (wire) {
+                case "adapter" -> new Adapter().run(new FileInputStream(FileDescriptor.in),
+                        new FileOutputStream(FileDescriptor.out));
+                case "serve" -> {
+                    System.setProperty("java.util.logging.SimpleFormatter.format", LOG_FORMAT);
+                    Service.run();
+                }
+                default -> {
+                    System.err.println("usage: java -jar cobaltseam.jar adapter|serve");
+                    System.exit(2);
+                }
+            }
         } catch (BadInput | IOException e) {
             System.err.println("cobaltseam: " + e.getMessage());
             System.exit(1);
--- a/src/main/java/cobaltseam/adapter/Adapter.java
+++ b/src/main/java/cobaltseam/adapter/Adapter.java
@@ -12,6 +12,8 @@
 import java.util.List;
 import java.util.Map;
 
+import cobaltseam.deployment.BadInput;
+import cobaltseam.deployment.Fields;
 import cobaltseam.dispatch.EngineId;
 import cobaltseam.dispatch.GroupId;
 import cobaltseam.dispatch.KindId;
--- a/src/main/java/cobaltseam/adapter/Instance.java
+++ b/src/main/java/cobaltseam/adapter/Instance.java
@@ -3,6 +3,9 @@
 import java.io.IOException;
 import java.util.List;
 
+import cobaltseam.deployment.BadInput;
+import cobaltseam.deployment.DeploymentReader;
+import cobaltseam.deployment.Fields;
 import cobaltseam.dispatch.Command;
 import cobaltseam.dispatch.CommandId;
 import cobaltseam.dispatch.DataSetId;
--- a/src/main/java/cobaltseam/adapter/BadInput.java
+++ b/src/main/java/cobaltseam/deployment/BadInput.java
@@ -1,10 +1,10 @@
-package cobaltseam.adapter;
+package cobaltseam.deployment;
 
 /** A message that the adapter can't take; its text says what is wrong with it. */
 public final class BadInput extends RuntimeException {
     private static final long serialVersionUID = 1;
 
-    BadInput(String what) {
+    public BadInput(String what) {
         super(what);
     }
 }
--- a/src/main/java/cobaltseam/adapter/DeploymentReader.java
+++ b/src/main/java/cobaltseam/deployment/DeploymentReader.java
@@ -1,4 +1,4 @@
-package cobaltseam.adapter;
+package cobaltseam.deployment;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -11,11 +11,11 @@
 import cobaltseam.dispatch.Span;
 
 /** Turns the wire's start-up parameters into what a dispatcher is told of its deployment. */
-final class DeploymentReader {
+public final class DeploymentReader {
     private DeploymentReader() {
     }
 
-    static Deployment read(Fields told) {
+    public static Deployment read(Fields told) {
         Fields family = told.object("family_info");
         List<Double> threads = family.numbers("width_by_class");
         List<Deployment.Profile> profiles = new ArrayList<>();
--- a/src/main/java/cobaltseam/adapter/Fields.java
+++ b/src/main/java/cobaltseam/deployment/Fields.java
@@ -1,4 +1,4 @@
-package cobaltseam.adapter;
+package cobaltseam.deployment;
 
 import java.io.IOException;
 import java.util.ArrayList;
@@ -10,7 +10,7 @@
 import com.fasterxml.jackson.core.JsonToken;
 
 /** One JSON object of the wire, asked for its fields by name and type. */
-final class Fields {
+public final class Fields {
     private final String where;
     private final Map<String, Object> values;
 
@@ -20,7 +20,7 @@
     }
 
     /** Reads a whole line, which must hold one object. */
-    static Fields of(JsonParser line) throws IOException {
+    public static Fields of(JsonParser line) throws IOException {
         if (line.nextToken() != JsonToken.START_OBJECT) {
             throw new BadInput("a line is not a JSON object");
         }
@@ -68,12 +68,12 @@
         }
     }
 
-    boolean has(String name) {
+    public boolean has(String name) {
         return values.get(name) != null;
     }
 
     /** The name of a message's one field. */
-    String onlyName() {
+    public String onlyName() {
         if (values.size() != 1) {
             throw new BadInput(where + ": a message must have one name, not " + values.keySet());
         }
@@ -96,42 +96,42 @@
         return type.cast(value);
     }
 
-    String text(String name) {
+    public String text(String name) {
         return as(String.class, name, "text");
     }
 
-    String text(String name, String absent) {
+    public String text(String name, String absent) {
         return has(name) ? String.valueOf(values.get(name)) : absent;
     }
 
-    long whole(String name) {
+    public long whole(String name) {
         return as(Number.class, name, "a number").longValue();
     }
 
-    long whole(String name, long absent) {
+    public long whole(String name, long absent) {
         return has(name) ? whole(name) : absent;
     }
 
-    double number(String name) {
+    public double number(String name) {
         return as(Number.class, name, "a number").doubleValue();
     }
 
-    double number(String name, double absent) {
+    public double number(String name, double absent) {
         return has(name) ? number(name) : absent;
     }
 
-    boolean flag(String name) {
+    public boolean flag(String name) {
         return has(name) && as(Boolean.class, name, "true or false");
     }
 
-    Fields object(String name) {
+    public Fields object(String name) {
         Map<String, Object> read = new LinkedHashMap<>();
         Map<?, ?> object = as(Map.class, name, "an object");
         object.forEach((k, v) -> read.put((String) k, v));
         return new Fields(name, read);
     }
 
-    List<Fields> objects(String name) {
+    public List<Fields> objects(String name) {
         List<Fields> read = new ArrayList<>();
         for (Object item : as(List.class, name, "an array")) {
             if (!(item instanceof Map<?, ?> map)) {
@@ -144,7 +144,7 @@
         return read;
     }
 
-    List<String> texts(String name) {
+    public List<String> texts(String name) {
         List<String> read = new ArrayList<>();
         for (Object item : as(List.class, name, "an array")) {
             read.add(String.valueOf(item));
@@ -153,7 +153,7 @@
     }
 
     /** The numbers of an array; none where it is absent. */
-    List<Double> numbers(String name) {
+    public List<Double> numbers(String name) {
         List<Double> read = new ArrayList<>();
         if (has(name)) {
             for (Object item : as(List.class, name, "an array")) {
--- /dev/null
+++ b/src/main/java/cobaltseam/service/Clients.java
@@ -0,0 +1,317 @@
+package cobaltseam.service;
+
+import java.lang.System.Logger.Level;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Collections;
+import java.util.Deque;
+import java.util.List;
+import java.util.Locale;
+import java.util.random.RandomGenerator;
+
+import cobaltseam.dispatch.Moment;
+import cobaltseam.dispatch.Span;
+import cobaltseam.postgres.ClientMessage;
+import cobaltseam.postgres.ClientParser;
+import cobaltseam.postgres.Replies;
+import cobaltseam.postgres.Statement;
+import cobaltseam.postgres.StatementScanner;
+import cobaltseam.service.Counters.Count;
+import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.service.IoHandlerAdapter;
+import org.apache.mina.core.session.IoSession;
+
+/** The clients' connections: their sessions, statements and answers. */
+final class Clients extends IoHandlerAdapter {
+    private static final System.Logger LOG = System.getLogger(Clients.class.getName());
+    private static final String CLIENT = "client";
+    /** Messages that may wait behind a statement; answers that may wait to be read. */
+    private static final int MOST_WAITING = 32;
+    private static final int MOST_UNREAD = 1 << 18;
+    private static final Span START_WITHIN = new Span(10_000_000);
+    private static final String COUNTERS = "show cobaltseam.counters";
+    private static final int US_PER_MS = 1000;
+
+    /** One connection. The parser belongs to the I/O thread, all else to the one that owns the state. */
+    private final class Client implements Commands.Asker {
+        final IoSession session;
+        final ClientParser parser = new ClientParser();
+        final Deque<Heard> waiting = new ArrayDeque<>();
+        long key = Slots.NONE;
+        int secret;
+        Deadlines.Deadline startWithin;
+        boolean started;
+        boolean skipping;
+        boolean busy;
+        long command = Slots.NONE;
+        byte[] text;
+
+        Client(IoSession session) {
+            this.session = session;
+        }
+
+        @Override
+        public void answered(byte[][] pages) {
+            finish(this, rows(pages, text));
+        }
+
+        @Override
+        public void shed(Span comeBack) {
+            String advice = comeBack.isPositive() ? ", pushback=" + comeBack.us() / US_PER_MS : "";
+            finish(this, new Replies().error("ERROR", Replies.SHED, "shed, trying again is harmless" + advice));
+        }
+
+        @Override
+        public void failed() {
+            finish(this, new Replies().error("ERROR", Replies.FAILED, "failed"));
+        }
+    }
+
+    /** One message, and when its last byte was read. */
+    private record Heard(ClientMessage message, Moment read) {
+    }
+
+    private final Inbox inbox;
+    private final Clock clock;
+    private final Deadlines deadlines;
+    private final Counters counters;
+    private final Commands commands;
+    private final RandomGenerator secrets;
+    private final Slots<Client> slots;
+
+    Clients(Installation told, Commands commands, RandomGenerator secrets, Inbox inbox, Clock clock,
+            Deadlines deadlines, Counters counters) {
+        this.commands = commands;
+        this.secrets = secrets;
+        this.inbox = inbox;
+        this.clock = clock;
+        this.deadlines = deadlines;
+        this.counters = counters;
+        slots = new Slots<>(told.sockets() / 2);
+    }
+
+    // ---- on the I/O thread: bytes to messages
+
+    @Override
+    public void sessionCreated(IoSession session) {
+        Client client = new Client(session);
+        session.setAttribute(CLIENT, client);
+        inbox.post(session, () -> opened(client));
+    }
+
+    @Override
+    public void messageReceived(IoSession session, Object message) {
+        Client client = (Client) session.getAttribute(CLIENT);
+        Moment read = clock.now();
+        client.parser.take(((IoBuffer) message).buf(),
+                m -> inbox.post(session, () -> heard(client, new Heard(m, read))));
+    }
+
+    @Override
+    public void sessionClosed(IoSession session) {
+        Client client = (Client) session.getAttribute(CLIENT);
+        inbox.post(null, () -> closed(client));
+    }
+
+    @Override
+    public void exceptionCaught(IoSession session, Throwable cause) {
+        session.closeNow();
+    }
+
+    // ---- sessions
+
+    private void opened(Client client) {
+        client.key = slots.take(client);
+        if (client.key == Slots.NONE) {
+            counters.add(Count.CLIENTS_TURNED_AWAY);
+            write(client, new Replies().error("FATAL", Replies.SHED, "too many clients"));
+            client.session.closeOnFlush();
+            return;
+        }
+        counters.add(Count.CLIENTS_OPENED);
+        client.secret = secrets.nextInt();
+        client.startWithin = deadlines.set(clock.now().plus(START_WITHIN), client.session::closeNow);
+    }
+
+    private void closed(Client client) {
+        if (slots.get(client.key) == client) {
+            counters.add(Count.CLIENTS_CLOSED);
+            deadlines.cancel(client.startWithin);
+            slots.free(client.key);
+            client.waiting.clear();
+            commands.departed(client.command);
+            client.command = Slots.NONE;
+        }
+    }
+
+    private void heard(Client client, Heard heard) {
+        if (slots.get(client.key) != client) {
+            return;
+        }
+        if (!client.busy) {
+            take(client, heard);
+        } else if (heard.message() instanceof ClientMessage.Terminate) {
+            client.session.closeNow();
+        } else if (client.waiting.size() < MOST_WAITING) {
+            client.waiting.addLast(heard);
+        } else {
+            protocolError(client, "too many messages behind a statement");
+        }
+    }
+
+    private void take(Client client, Heard heard) {
+        ClientMessage message = heard.message();
+        if (message instanceof ClientMessage.Startup) {
+            client.started = true;
+            deadlines.cancel(client.startWithin);
+            write(client, new Replies().welcome((int) client.key, client.secret));
+        } else if (message instanceof ClientMessage.EncryptionRequest) {
+            client.session.write(IoBuffer.wrap(new byte[] {'N'}));
+        } else if (message instanceof ClientMessage.Cancel cancel) {
+            cancel(cancel);
+            client.session.closeNow();
+        } else if (message instanceof ClientMessage.Query query) {
+            client.skipping = false;
+            query(client, query.text(), heard.read());
+        } else if (message instanceof ClientMessage.Terminate) {
+            client.session.closeNow();
+        } else if (message instanceof ClientMessage.Sync) {
+            client.skipping = false;
+            write(client, new Replies().ready());
+        } else if (message instanceof ClientMessage.Unspoken unspoken) {
+            if (!client.skipping) {
+                client.skipping = true;
+                write(client, new Replies().error("ERROR", Replies.NOT_SPOKEN,
+                        "only simple queries are spoken here, not message '" + unspoken.type() + "'"));
+            }
+        } else if (message instanceof ClientMessage.Malformed malformed) {
+            protocolError(client, malformed.reason());
+        }
+    }
+
+    private void protocolError(Client client, String what) {
+        counters.add(Count.CLIENT_PROTOCOL_ERRORS);
+        LOG.log(Level.WARNING, "client {0} closed: {1}", client.session.getRemoteAddress(), what);
+        write(client, new Replies().error("FATAL", Replies.BAD_PROTOCOL, what));
+        client.session.closeOnFlush();
+        closed(client);
+    }
+
+    /** Nothing more is owed for the statement of the session that this names. */
+    private void cancel(ClientMessage.Cancel cancel) {
+        slots.forEach(c -> {
+            if ((int) c.key == cancel.session() && c.secret == cancel.secret() && c.started) {
+                long command = c.command;
+                c.command = Slots.NONE;
+                commands.departed(command);
+                c.busy = false;
+            }
+        });
+    }
+
+    // ---- statements and answers
+
+    private void query(Client client, byte[] text, Moment read) {
+        if (StatementScanner.isEmpty(text)) {
+            write(client, new Replies().emptyStatement().ready());
+            return;
+        }
+        if (isCounters(text)) {
+            Replies replies = new Replies().columns(List.of("counter", "value"));
+            for (Count what : Count.values()) {
+                byte[] row = (what.label() + '\t' + counters.of(what)).getBytes(StandardCharsets.UTF_8);
+                replies.row(row, 0, row.length);
+            }
+            write(client, replies.complete("SHOW").ready());
+            return;
+        }
+        Statement statement;
+        try {
+            statement = StatementScanner.scan(text);
+        } catch (StatementScanner.Unusable e) {
+            unusable(client, e.getMessage());
+            return;
+        }
+        client.busy = true;
+        client.text = statement.text();
+        long key = commands.take(statement, read, client);
+        if (key == Slots.NONE) {
+            client.busy = false;
+            unusable(client, "an unknown profile, or a call that is in hand already");
+        } else if (client.busy) {
+            client.command = key;
+        }
+    }
+
+    private static boolean isCounters(byte[] text) {
+        if (text.length > 2 * COUNTERS.length()) {
+            return false;
+        }
+        String plain = new String(text, StandardCharsets.UTF_8).strip().toLowerCase(Locale.ROOT);
+        return plain.equals(COUNTERS) || plain.equals(COUNTERS + ";");
+    }
+
+    private void unusable(Client client, String why) {
+        counters.add(Count.STATEMENTS_UNUSABLE);
+        LOG.log(Level.WARNING, "client {0}: {1}", client.session.getRemoteAddress(), why);
+        write(client, new Replies().error("ERROR", Replies.BAD_STATEMENT, why).ready());
+    }
+
+    private static Replies rows(byte[][] pages, byte[] statement) {
+        Replies replies = new Replies();
+        int rows = 0;
+        for (byte[] page : pages) {
+            int from = 0;
+            for (int i = 0; i < page.length; i++) {
+                if (page[i] == '\n') {
+                    if (rows++ == 0) {
+                        replies.columns(names(page, from, i));
+                    }
+                    replies.row(page, from, i);
+                    from = i + 1;
+                }
+            }
+        }
+        if (rows == 0) {
+            replies.columns(Collections.nCopies(3, "column"));
+        }
+        boolean insert = statement.length > 6
+                && new String(statement, 0, 6, StandardCharsets.ISO_8859_1).equalsIgnoreCase("insert");
+        return replies.complete((insert ? "INSERT 0 " : "SELECT ") + rows);
+    }
+
+    private static List<String> names(byte[] row, int from, int to) {
+        int columns = 1;
+        for (int i = from; i < to; i++) {
+            columns += row[i] == '\t' ? 1 : 0;
+        }
+        return Collections.nCopies(columns, "column");
+    }
+
+    /** The one answer to the statement that this client has open; then what waits behind it. */
+    private void finish(Client client, Replies replies) {
+        client.busy = false;
+        client.command = Slots.NONE;
+        client.text = null;
+        write(client, replies.ready());
+        while (!client.busy && !client.waiting.isEmpty()) {
+            take(client, client.waiting.removeFirst());
+        }
+    }
+
+    private void write(Client client, Replies replies) {
+        if (client.session.getScheduledWriteBytes() > MOST_UNREAD) {
+            LOG.log(Level.WARNING, "client {0} closed: it does not read", client.session.getRemoteAddress());
+            client.session.closeNow();
+            return;
+        }
+        client.session.write(IoBuffer.wrap(replies.bytes()));
+    }
+
+    /** Whether all that was written has gone out. */
+    boolean allWritten() {
+        boolean[] all = {true};
+        slots.forEach(c -> all[0] &= c.session.getScheduledWriteBytes() == 0);
+        return all[0];
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltseam/service/Clock.java
@@ -0,0 +1,18 @@
+package cobaltseam.service;
+
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
+
+import cobaltseam.dispatch.Moment;
+
+/** The system's Unix clock as it stood at the start, carried on by the clock that no one sets. */
+final class Clock {
+    private static final int NANOS_PER_MICRO = 1000;
+
+    private final long startUs = ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now());
+    private final long startNanos = System.nanoTime();
+
+    Moment now() {
+        return new Moment(startUs + (System.nanoTime() - startNanos) / NANOS_PER_MICRO);
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltseam/service/Commands.java
@@ -0,0 +1,219 @@
+package cobaltseam.service;
+
+import java.lang.System.Logger.Level;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Supplier;
+
+import cobaltseam.dispatch.Command;
+import cobaltseam.dispatch.CommandId;
+import cobaltseam.dispatch.DataSetId;
+import cobaltseam.dispatch.Deployment;
+import cobaltseam.dispatch.Dispatcher;
+import cobaltseam.dispatch.Moment;
+import cobaltseam.dispatch.Outcome;
+import cobaltseam.dispatch.Outcome.Ending;
+import cobaltseam.dispatch.Pause;
+import cobaltseam.dispatch.Placement;
+import cobaltseam.dispatch.ProfileId;
+import cobaltseam.dispatch.ShareId;
+import cobaltseam.dispatch.Span;
+import cobaltseam.postgres.Statement;
+import cobaltseam.service.Counters.Count;
+
+/** The commands in hand: asks the module for each, and carries out what it says. */
+final class Commands implements Engines.Listener {
+    /** Who waits for the final answer of a command. */
+    interface Asker {
+        void answered(byte[][] pages);
+
+        void shed(Span comeBack);
+
+        void failed();
+    }
+
+    private static final System.Logger LOG = System.getLogger(Commands.class.getName());
+    private static final int US_PER_MS = 1000;
+    private static final int MOST_OPEN = 1 << 16;
+
+    /** One command: while it is open someone waits, and beyond that a send may be out. */
+    private static final class InHand {
+        long key;
+        CommandId id;
+        Statement statement;
+        Asker asker;
+        int sends;
+        Send out;
+    }
+
+    private final Dispatcher dispatcher;
+    private final Engines engines;
+    private final Deadlines deadlines;
+    private final Clock clock;
+    private final Counters counters;
+    private final Set<String> profiles = new HashSet<>();
+    private final Set<String> shares = new HashSet<>();
+    private final Slots<InHand> slots = new Slots<>(MOST_OPEN);
+    private final Map<CommandId, InHand> byId = new HashMap<>();
+    private Deadlines.Deadline wake;
+
+    Commands(Deployment deployment, long seed, Engines engines, Deadlines deadlines, Clock clock,
+             Counters counters) {
+        dispatcher = new Dispatcher(deployment, seed);
+        deployment.profiles().forEach(p -> profiles.add(p.id().value()));
+        deployment.shares().forEach(s -> shares.add(s.id().value()));
+        this.engines = engines;
+        this.deadlines = deadlines;
+        this.clock = clock;
+        this.counters = counters;
+        engines.listener(this);
+    }
+
+    /** Whether nobody waits for an answer. */
+    boolean isEmpty() {
+        return byId.isEmpty();
+    }
+
+    void listed(Roster roster) {
+        engines.listed(roster);
+        Moment now = clock.now();
+        dispatcher.listed(roster.list(), roster.whole(), now);
+        follow();
+    }
+
+    /**
+     * Takes a command in, read whole at this moment. Its key, or NONE with nothing taken, where the
+     * profile is unknown or the call is one already in hand.
+     */
+    long take(Statement s, Moment read, Asker asker) {
+        CommandId id = new CommandId(s.call());
+        InHand c = new InHand();
+        if (!profiles.contains(s.profile()) || byId.containsKey(id)) {
+            return Slots.NONE;
+        }
+        c.key = slots.take(c);
+        if (c.key == Slots.NONE) {
+            return Slots.NONE;
+        }
+        c.id = id;
+        c.statement = s;
+        c.asker = asker;
+        byId.put(id, c);
+        counters.add(Count.COMMANDS_TAKEN);
+        Command command = new Command(id, new ProfileId(s.profile()),
+                s.share() != null && shares.contains(s.share()) ? new ShareId(s.share()) : null, null,
+                read.plus(new Span(s.timeToLiveMs() * US_PER_MS)), new Span(Math.round(s.workMs() * US_PER_MS)),
+                s.dataSet() < 0 ? null : new DataSetId(s.dataSet()), s.memoryMb());
+        long key = c.key;
+        carryOut(c, () -> dispatcher.place(command, clock.now()));
+        follow();
+        return key;
+    }
+
+    /** Nobody waits for this command any more. */
+    void departed(long key) {
+        InHand c = slots.get(key);
+        if (c == null || c.asker == null) {
+            return;
+        }
+        counters.add(Count.COMMANDS_DEPARTED);
+        c.asker = null;
+        dispatcher.departed(c.id, clock.now());
+        if (c.out != null) {
+            engines.callOff(c.out);
+        } else {
+            forget(c);
+        }
+        follow();
+    }
+
+    @Override
+    public void progressed(Send send, double share, Moment now) {
+        if (share >= 0) {
+            dispatcher.progressed(send.command, send.number, share, now);
+            follow();
+        }
+    }
+
+    @Override
+    public void ended(Send send, Ending ending, Moment now) {
+        InHand c = byId.get(send.command);
+        if (c == null || c.out != send) {
+            return;
+        }
+        c.out = null;
+        Asker answered = ending == Ending.ANSWERED ? c.asker : null;
+        c.asker = ending == Ending.ANSWERED ? null : c.asker;
+        boolean over = c.asker == null;
+        Outcome outcome = new Outcome(c.id, send.number, send.engine, ending, now.since(send.at), over,
+                new Span(-1), -1, send.queue, send.inHand);
+        carryOut(c, () -> dispatcher.after(outcome, now));
+        if (over) {
+            forget(c);
+        }
+        if (answered != null) {
+            counters.add(Count.COMMANDS_ANSWERED);
+            answered.answered(send.pages);
+        }
+        follow();
+    }
+
+    private void forget(InHand c) {
+        byId.remove(c.id);
+        slots.free(c.key);
+    }
+
+    /** Follows the module until it names a span to wait, and wakes up after that. */
+    private void follow() {
+        Moment now = clock.now();
+        Pause pause = dispatcher.pause(now);
+        while (pause.span() != null && !pause.span().isPositive()) {
+            InHand c = pause.command() == null ? null : byId.get(pause.command().id());
+            if (pause.callOff() >= 0 && c != null && c.out != null && c.out.number == pause.callOff()) {
+                engines.callOff(c.out);
+            } else if (pause.command() != null) {
+                Command command = pause.command();
+                carryOut(c, () -> dispatcher.place(command, clock.now()));
+            } else if (pause.probe() != null) {
+                engines.probe(pause.probe(), now);
+            }
+            now = clock.now();
+            pause = dispatcher.pause(now);
+        }
+        deadlines.cancel(wake);
+        wake = pause.span() == null ? null : deadlines.set(now.plus(pause.span()), this::follow);
+    }
+
+    /** Asks the module for one command; a fault of its code fails this command and no other. */
+    private void carryOut(InHand c, Supplier<Placement> asked) {
+        Placement p;
+        try {
+            p = asked.get();
+        } catch (RuntimeException e) {
+            counters.add(Count.FAULTS);
+            LOG.log(Level.ERROR, "a fault in a decision", e);
+            p = Placement.fail();
+        }
+        if (c == null || c.asker == null) {
+            return;
+        }
+        switch (p.verdict()) {
+            case SEND -> c.out = engines.send(c.id, c.sends++, p.engine(), c.statement, p.sendTimeout(), clock.now());
+            case SHED -> {
+                counters.add(Count.COMMANDS_SHED);
+                Asker asker = c.asker;
+                forget(c);
+                asker.shed(p.comeBack());
+            }
+            case FAIL -> {
+                counters.add(Count.COMMANDS_FAILED);
+                Asker asker = c.asker;
+                forget(c);
+                asker.failed();
+            }
+            default -> { }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltseam/service/Counters.java
@@ -0,0 +1,41 @@
+package cobaltseam.service;
+
+import java.util.EnumMap;
+import java.util.Locale;
+import java.util.Map;
+
+/** Counts what the service takes in, sends and answers. */
+final class Counters {
+    /** What is counted, under the name that is printed. */
+    enum Count {
+        CLIENTS_OPENED, CLIENTS_CLOSED, CLIENTS_TURNED_AWAY, CLIENT_PROTOCOL_ERRORS,
+        COMMANDS_TAKEN, STATEMENTS_UNUSABLE, COMMANDS_ANSWERED, COMMANDS_SHED, COMMANDS_FAILED, COMMANDS_DEPARTED,
+        SENDS, SENDS_ANSWERED, SENDS_ERROR, SENDS_NO_ROOM, SENDS_TIMED_OUT, SENDS_UNREACHABLE, SENDS_CUT,
+        SENDS_CANCELLED, SENDS_NEVER_SENT, PAGES_ASKED, NOTES, LATE_ANSWERS, UNKNOWN_ANSWERS,
+        ENGINE_CONNECTIONS, ENGINE_CONNECTIONS_FAILED, ENGINE_CONNECTIONS_CLOSED, ENGINE_PROTOCOL_ERRORS,
+        BUS_EVENTS, BUS_CONNECTIONS, BUS_GAPS, FAULTS;
+
+        String label() {
+            return name().toLowerCase(Locale.ROOT);
+        }
+    }
+
+    private final Map<Count, Long> counts = new EnumMap<>(Count.class);
+
+    void add(Count what) {
+        counts.merge(what, 1L, Long::sum);
+    }
+
+    long of(Count what) {
+        return counts.getOrDefault(what, 0L);
+    }
+
+    @Override
+    public String toString() {
+        StringBuilder text = new StringBuilder("counters");
+        for (Count what : Count.values()) {
+            text.append(' ').append(what.label()).append('=').append(of(what));
+        }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltseam/service/EngineConnection.java
@@ -0,0 +1,68 @@
+package cobaltseam.service;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import cobaltseam.dispatch.EngineId;
+import cobaltseam.dispatch.Moment;
+import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.future.ConnectFuture;
+import org.apache.mina.core.session.IoSession;
+
+/** One connection to one engine, and the sends that are out on it. */
+final class EngineConnection {
+    /** Ids of ended sends that are remembered, so that late answers are known. */
+    private static final int REMEMBERED = 256;
+    /** What may wait to be written before no more is sent this way. */
+    private static final int MOST_WAITING = 1 << 18;
+
+    final EngineId engine;
+    final Moment opened;
+    final Map<String, Send> sends = new HashMap<>();
+    private final Map<String, Boolean> ended = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > REMEMBERED;
+        }
+    };
+    long key;
+    ConnectFuture future;
+    Deadlines.Deadline connectTimeout;
+    /** Null until it is up. */
+    IoSession session;
+    Moment heard;
+    Moment idleSince;
+    /** A send timed out here though nothing at all had come since it was written. */
+    boolean silent;
+    private long written;
+
+    EngineConnection(EngineId engine, Moment opened) {
+        this.engine = engine;
+        this.opened = opened;
+        heard = opened;
+        idleSince = opened;
+    }
+
+    /** Writes and counts; the count at which this has gone out whole. */
+    long write(byte[] bytes) {
+        session.write(IoBuffer.wrap(bytes));
+        return ++written;
+    }
+
+    /** Whether a further send of this id may go this way: each id only once, or its answers were mixed up. */
+    boolean takes(String id, int most) {
+        return !silent && sends.size() < most && !sends.containsKey(id) && !ended.containsKey(id)
+                && (session == null || session.isActive() && session.getScheduledWriteBytes() < MOST_WAITING);
+    }
+
+    void remember(String id) {
+        ended.put(id, true);
+    }
+
+    boolean remembers(String id) {
+        return ended.containsKey(id);
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltseam/service/Engines.java
@@ -0,0 +1,415 @@
+package cobaltseam.service;
+
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import cobaltseam.dispatch.CommandId;
+import cobaltseam.dispatch.EngineId;
+import cobaltseam.dispatch.Listing;
+import cobaltseam.dispatch.Moment;
+import cobaltseam.dispatch.Outcome.Ending;
+import cobaltseam.dispatch.Span;
+import cobaltseam.postgres.Statement;
+import cobaltseam.resp.EngineAnswer;
+import cobaltseam.resp.EngineCommands;
+import cobaltseam.resp.RespParser;
+import cobaltseam.service.Counters.Count;
+import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.future.ConnectFuture;
+import org.apache.mina.core.service.IoHandlerAdapter;
+import org.apache.mina.core.session.IoSession;
+import org.apache.mina.transport.socket.SocketConnector;
+
+/** The engines: connections to them, the sends that are out, and the pages of their results. */
+final class Engines {
+    /** Who hears of a send: its progress, and its one outcome. */
+    interface Listener {
+        void progressed(Send send, double share, Moment now);
+
+        void ended(Send send, Ending ending, Moment now);
+    }
+
+    private static final System.Logger LOG = System.getLogger(Engines.class.getName());
+    private static final String PARSER = "parser";
+    private static final String CONNECTION = "connection";
+    private static final int MOST_PAGES = 64;
+    private static final int MOST_BYTES = 1 << 16;
+    /** A connection idle for more than this part of the time after which engines close it is not used. */
+    private static final double IDLE_USED = 0.9;
+
+    /** One engine of the list. */
+    private static final class Machine {
+        InetSocketAddress address;
+        Listing.Standing standing;
+        final List<EngineConnection> connections = new ArrayList<>();
+    }
+
+    private final SocketConnector connector;
+    private final Inbox inbox;
+    private final Clock clock;
+    private final Deadlines deadlines;
+    private final Counters counters;
+    private final Span connectTimeout;
+    private final Span idle;
+    private final int sendsPerConnection;
+    private final Map<EngineId, Machine> machines = new HashMap<>();
+    private final Slots<EngineConnection> connections;
+    private Listener listener;
+
+    Engines(Installation told, SocketConnector connector, Inbox inbox, Clock clock, Deadlines deadlines,
+            Counters counters) {
+        this.connector = connector;
+        this.inbox = inbox;
+        this.clock = clock;
+        this.deadlines = deadlines;
+        this.counters = counters;
+        connectTimeout = told.connectTimeout();
+        idle = told.connectionIdle().times(IDLE_USED);
+        sendsPerConnection = told.sendsPerConnection();
+        connections = new Slots<>(told.sockets() / 3);
+        connector.setHandler(new Wire());
+    }
+
+    void listener(Listener to) {
+        listener = to;
+    }
+
+    // ---- on the I/O thread: bytes to answers
+
+    private final class Wire extends IoHandlerAdapter {
+        @Override
+        public void sessionCreated(IoSession session) {
+            session.setAttribute(PARSER, new RespParser());
+        }
+
+        @Override
+        public void messageReceived(IoSession session, Object message) {
+            List<EngineAnswer> answers = new ArrayList<>();
+            RespParser parser = (RespParser) session.getAttribute(PARSER);
+            String wrong = parser.take(((IoBuffer) message).buf(), items -> answers.add(EngineAnswer.of(items)));
+            inbox.post(session, () -> answered(connection(session), answers, wrong));
+        }
+
+        @Override
+        public void sessionClosed(IoSession session) {
+            long written = session.getWrittenMessages();
+            inbox.post(null, () -> closed(connection(session), written));
+        }
+
+        @Override
+        public void exceptionCaught(IoSession session, Throwable cause) {
+            session.closeNow();
+        }
+    }
+
+    private EngineConnection connection(IoSession session) {
+        return (EngineConnection) session.getAttribute(CONNECTION);
+    }
+
+    // ---- the list
+
+    void listed(Roster roster) {
+        if (roster.whole()) {
+            machines.values().forEach(m -> m.standing = Listing.Standing.GONE);
+        }
+        for (Listing line : roster.list()) {
+            Machine machine = machines.computeIfAbsent(line.engine(), e -> new Machine());
+            machine.standing = line.standing();
+            InetSocketAddress address = roster.addresses().get(line.engine());
+            if (address != null) {
+                machine.address = address;
+            }
+            // Connections to an earlier life of the process may stay open and silent.
+            for (EngineConnection c : List.copyOf(machine.connections)) {
+                if (line.standing() == Listing.Standing.UP && c.opened.before(line.started())) {
+                    drop(c);
+                }
+            }
+        }
+        for (Machine machine : List.copyOf(machines.values())) {
+            if (machine.standing == Listing.Standing.GONE) {
+                List.copyOf(machine.connections).stream().filter(c -> c.sends.isEmpty()).forEach(this::drop);
+            }
+        }
+        machines.values().removeIf(m -> m.standing == Listing.Standing.GONE && m.connections.isEmpty());
+    }
+
+    // ---- sends
+
+    /** Hands a command to an engine; the listener hears of its one outcome later, never at once. */
+    Send send(CommandId command, int number, EngineId engine, Statement statement, Span timeout, Moment now) {
+        Send send = new Send(command, number, engine, statement, now, now.plus(timeout));
+        counters.add(Count.SENDS);
+        Machine machine = machines.get(engine);
+        EngineConnection connection = machine == null || machine.address == null ? null
+                : pick(machine, engine, send.call(), now);
+        if (connection == null) {
+            send.timeout = deadlines.set(now, () -> end(send, Ending.UNREACHABLE));
+            return send;
+        }
+        send.timeout = deadlines.set(send.until, () -> giveUp(send, Ending.TIMED_OUT));
+        send.connection = connection;
+        connection.sends.put(send.call(), send);
+        if (connection.session != null) {
+            write(send, now);
+        }
+        return send;
+    }
+
+    private EngineConnection pick(Machine machine, EngineId engine, String id, Moment now) {
+        for (EngineConnection c : List.copyOf(machine.connections)) {
+            if (idle.isPositive() && c.sends.isEmpty() && now.since(c.idleSince).compareTo(idle) > 0) {
+                drop(c);
+            } else if (c.takes(id, sendsPerConnection)) {
+                return c;
+            }
+        }
+        return open(machine, engine, now);
+    }
+
+    private EngineConnection open(Machine machine, EngineId engine, Moment now) {
+        EngineConnection c = new EngineConnection(engine, now);
+        c.key = connections.take(c);
+        if (c.key == Slots.NONE) {
+            LOG.log(Level.WARNING, "no room for one more connection to an engine");
+            return null;
+        }
+        machine.connections.add(c);
+        c.future = connector.connect(machine.address, (session, future) -> session.setAttribute(CONNECTION, c));
+        c.connectTimeout = deadlines.set(now.plus(connectTimeout), () -> {
+            c.future.cancel();
+            failed(c);
+        });
+        c.future.addListener((ConnectFuture done) -> inbox.post(null, () -> connected(c)));
+        return c;
+    }
+
+    private void connected(EngineConnection c) {
+        if (connections.get(c.key) != c) {
+            if (c.future.isConnected()) {
+                c.future.getSession().closeNow();
+            }
+        } else if (!c.future.isConnected()) {
+            failed(c);
+        } else {
+            counters.add(Count.ENGINE_CONNECTIONS);
+            deadlines.cancel(c.connectTimeout);
+            c.session = c.future.getSession();
+            Moment now = clock.now();
+            c.heard = now;
+            for (Send send : List.copyOf(c.sends.values())) {
+                write(send, now);
+            }
+        }
+    }
+
+    private void failed(EngineConnection c) {
+        if (connections.get(c.key) == c) {
+            counters.add(Count.ENGINE_CONNECTIONS_FAILED);
+            remove(c, 0);
+        }
+    }
+
+    private void closed(EngineConnection c, long written) {
+        if (connections.get(c.key) == c) {
+            counters.add(Count.ENGINE_CONNECTIONS_CLOSED);
+            remove(c, written);
+        }
+    }
+
+    /** Closes a connection of our own accord. */
+    private void drop(EngineConnection c) {
+        if (connections.get(c.key) != c) {
+            return;
+        }
+        long written = 0;
+        if (c.session != null) {
+            written = c.session.getWrittenMessages();
+            c.session.closeNow();
+        } else {
+            c.future.cancel();
+        }
+        remove(c, written);
+    }
+
+    /** Forgets a connection: what was never written whole never ran, the rest may have run. */
+    private void remove(EngineConnection c, long written) {
+        deadlines.cancel(c.connectTimeout);
+        connections.free(c.key);
+        Machine machine = machines.get(c.engine);
+        if (machine != null) {
+            machine.connections.remove(c);
+        }
+        for (Send send : List.copyOf(c.sends.values())) {
+            boolean neverRan = send.position == 0 || send.position > written;
+            end(send, neverRan ? Ending.UNREACHABLE : Ending.CUT);
+        }
+    }
+
+    private void write(Send send, Moment now) {
+        long ms = Math.max(1, (send.until.since(now).us() + 999) / 1000);
+        send.position = send.connection.write(EngineCommands.pull(send.call(), send.statement.profile(), ms,
+                send.statement.text()));
+    }
+
+    /** Calls a send off: its outcome is told at once, and its engine told to stop. */
+    void callOff(Send send) {
+        giveUp(send, Ending.CANCELLED);
+    }
+
+    private void giveUp(Send send, Ending ending) {
+        if (send.over) {
+            return;
+        }
+        EngineConnection c = send.connection;
+        if (c == null || send.position == 0) {
+            end(send, Ending.UNREACHABLE);
+            return;
+        }
+        c.silent |= ending == Ending.TIMED_OUT && c.heard.before(send.at);
+        c.remember(send.call());
+        c.write(send.pages == null ? EngineCommands.kill(send.call()) : EngineCommands.discard(send.call()));
+        end(send, ending);
+    }
+
+    private void end(Send send, Ending ending) {
+        if (send.over) {
+            return;
+        }
+        send.over = true;
+        deadlines.cancel(send.timeout);
+        EngineConnection c = send.connection;
+        Moment now = clock.now();
+        if (c != null) {
+            c.sends.remove(send.call());
+            if (c.sends.isEmpty()) {
+                c.idleSince = now;
+                Machine machine = machines.get(c.engine);
+                if (c.silent || machine != null && machine.standing == Listing.Standing.GONE) {
+                    drop(c);
+                }
+            }
+        }
+        counters.add(Count.valueOf("SENDS_" + ending));
+        listener.ended(send, ending, now);
+    }
+
+    /** Asks an engine whether its connection works. */
+    void probe(EngineId engine, Moment now) {
+        Machine machine = machines.get(engine);
+        if (machine != null && machine.address != null) {
+            EngineConnection c = pick(machine, engine, "", now);
+            if (c != null && c.session != null) {
+                c.write(EngineCommands.echo("probe"));
+            }
+        }
+    }
+
+    // ---- answers
+
+    private void answered(EngineConnection c, List<EngineAnswer> answers, String wrong) {
+        c.heard = clock.now();
+        c.silent = false;
+        for (EngineAnswer answer : answers) {
+            if (connections.get(c.key) != c) {
+                return;
+            }
+            if (answer == null) {
+                protocolError(c, "an array that is no answer");
+            } else if (!answer.word().equals(EngineAnswer.ALIVE)) {
+                take(c, answer);
+            }
+        }
+        if (wrong != null && connections.get(c.key) == c) {
+            protocolError(c, wrong);
+        }
+    }
+
+    private void protocolError(EngineConnection c, String what) {
+        counters.add(Count.ENGINE_PROTOCOL_ERRORS);
+        LOG.log(Level.WARNING, "engine {0} closed: {1}", Long.toHexString(c.engine.value()), what);
+        drop(c);
+    }
+
+    private void take(EngineConnection c, EngineAnswer answer) {
+        Send send = c.sends.get(answer.id());
+        if (send == null) {
+            late(c, answer);
+            return;
+        }
+        double inHand = answer.reported("inflight");
+        double queue = answer.reported("queue");
+        send.inHand = inHand >= 0 ? inHand : send.inHand;
+        send.queue = queue >= 0 ? queue : send.queue;
+        switch (answer.word()) {
+            case EngineAnswer.STATUS -> {
+                counters.add(Count.NOTES);
+                if ("progress".equals(answer.fields().get("why"))) {
+                    listener.progressed(send, answer.number("v"), c.heard);
+                }
+            }
+            case EngineAnswer.OK -> firstPage(c, send, answer);
+            case EngineAnswer.CHUNK -> page(send, answer.whole("page"), answer.body());
+            case EngineAnswer.FULL, EngineAnswer.OVER -> end(send, Ending.NO_ROOM);
+            case EngineAnswer.ERROR -> end(send, Ending.ERROR);
+            default -> protocolError(c, "an answer '" + answer.word() + "'");
+        }
+    }
+
+    private void late(EngineConnection c, EngineAnswer answer) {
+        if (!c.remembers(answer.id())) {
+            counters.add(Count.UNKNOWN_ANSWERS);
+            LOG.log(Level.WARNING, "engine {0}: an answer for unknown id {1}",
+                    Long.toHexString(c.engine.value()), answer.id());
+            return;
+        }
+        counters.add(Count.LATE_ANSWERS);
+        if (answer.word().equals(EngineAnswer.OK) && answer.whole("pages") > 1) {
+            c.write(EngineCommands.discard(answer.id()));
+        }
+    }
+
+    private void firstPage(EngineConnection c, Send send, EngineAnswer answer) {
+        int pages = answer.whole("pages");
+        if (send.pages != null || pages < 1 || pages > MOST_PAGES) {
+            spoiled(send, "a result of " + pages + " pages");
+            return;
+        }
+        send.pages = new byte[pages][];
+        send.missing = pages;
+        for (int i = 1; i < pages; i++) {
+            counters.add(Count.PAGES_ASKED);
+            c.write(EngineCommands.scroll(send.call(), i));
+        }
+        page(send, 0, answer.body());
+    }
+
+    private void page(Send send, int number, byte[] body) {
+        if (send.pages == null || number < 0 || number >= send.pages.length || send.pages[number] != null) {
+            spoiled(send, "page " + number + " is none of those to come");
+            return;
+        }
+        send.bytes += body.length;
+        if (send.bytes > MOST_BYTES || body.length > 0 && body[body.length - 1] != '\n') {
+            spoiled(send, "page " + number + " is too long or not whole");
+            return;
+        }
+        send.pages[number] = body;
+        if (--send.missing == 0) {
+            end(send, Ending.ANSWERED);
+        }
+    }
+
+    /** A result that can't be passed on counts as the engine's error. */
+    private void spoiled(Send send, String why) {
+        counters.add(Count.ENGINE_PROTOCOL_ERRORS);
+        LOG.log(Level.WARNING, "engine {0}: {1}", Long.toHexString(send.engine.value()), why);
+        send.connection.remember(send.call());
+        send.connection.write(EngineCommands.discard(send.call()));
+        end(send, Ending.ERROR);
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltseam/service/EventBus.java
@@ -0,0 +1,186 @@
+package cobaltseam.service;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+
+import cobaltseam.deployment.BadInput;
+import cobaltseam.deployment.Fields;
+import cobaltseam.dispatch.Moment;
+import cobaltseam.dispatch.Span;
+import cobaltseam.service.Counters.Count;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.future.ConnectFuture;
+import org.apache.mina.core.service.IoHandlerAdapter;
+import org.apache.mina.core.session.IoSession;
+import org.apache.mina.transport.socket.SocketConnector;
+
+/** Follows the event bus from the last event known, over as many connections as that takes. */
+final class EventBus {
+    private static final System.Logger LOG = System.getLogger(EventBus.class.getName());
+    private static final String LIFE = "life";
+    private static final String LINE = "line";
+    private static final int LONGEST_LINE = 1 << 20;
+    /** The bus writes at least this often. */
+    private static final Span BEAT = new Span(1_000_000);
+    private static final Span SILENCE = BEAT.times(2.5);
+    private static final Span RETRY = BEAT.times(0.25);
+
+    private final InetSocketAddress address;
+    private final SocketConnector connector;
+    private final Inbox inbox;
+    private final Clock clock;
+    private final Deadlines deadlines;
+    private final Counters counters;
+    private final Consumer<Roster> listener;
+    private final JsonFactory json = new JsonFactory();
+    private long last;
+    /** Counts connections; what an earlier one still says is passed over. */
+    private long life;
+    private ConnectFuture future;
+    private Deadlines.Deadline next;
+
+    EventBus(Installation told, SocketConnector connector, Inbox inbox, Clock clock, Deadlines deadlines,
+             Counters counters, Consumer<Roster> listener) {
+        address = told.bus();
+        last = told.knownOffset();
+        this.connector = connector;
+        this.inbox = inbox;
+        this.clock = clock;
+        this.deadlines = deadlines;
+        this.counters = counters;
+        this.listener = listener;
+        connector.setHandler(new Wire());
+    }
+
+    // ---- on the I/O thread: bytes to lines
+
+    private final class Wire extends IoHandlerAdapter {
+        @Override
+        public void sessionCreated(IoSession session) {
+            session.setAttribute(LINE, new ByteArrayOutputStream());
+        }
+
+        @Override
+        public void messageReceived(IoSession session, Object message) {
+            ByteArrayOutputStream line = (ByteArrayOutputStream) session.getAttribute(LINE);
+            long from = (Long) session.getAttribute(LIFE);
+            IoBuffer in = (IoBuffer) message;
+            while (in.hasRemaining()) {
+                byte b = in.get();
+                if (b != '\n') {
+                    line.write(b);
+                    if (line.size() > LONGEST_LINE) {
+                        session.closeNow();
+                        return;
+                    }
+                } else {
+                    String text = line.toString(StandardCharsets.UTF_8).strip();
+                    line.reset();
+                    inbox.post(session, () -> said(from, text));
+                }
+            }
+        }
+
+        @Override
+        public void sessionClosed(IoSession session) {
+            long from = (Long) session.getAttribute(LIFE);
+            inbox.post(null, () -> lost(from, "closed"));
+        }
+
+        @Override
+        public void exceptionCaught(IoSession session, Throwable cause) {
+            session.closeNow();
+        }
+    }
+
+    // ---- connections
+
+    void connect() {
+        long mine = ++life;
+        future = connector.connect(address, (session, f) -> session.setAttribute(LIFE, mine));
+        future.addListener((ConnectFuture f) -> inbox.post(null, () -> connected(mine, f)));
+        next = deadlines.set(clock.now().plus(BEAT), () -> lost(mine, "no connection"));
+    }
+
+    private void connected(long mine, ConnectFuture f) {
+        if (!f.isConnected()) {
+            lost(mine, "no connection");
+        } else if (mine != life) {
+            f.getSession().closeNow();
+        } else {
+            counters.add(Count.BUS_CONNECTIONS);
+            f.getSession().write(IoBuffer.wrap(("from " + last + "\n").getBytes(StandardCharsets.US_ASCII)));
+            await(mine);
+        }
+    }
+
+    private void await(long mine) {
+        deadlines.cancel(next);
+        next = deadlines.set(clock.now().plus(SILENCE), () -> lost(mine, "silent"));
+    }
+
+    private void lost(long mine, String why) {
+        if (mine != life) {
+            return;
+        }
+        LOG.log(Level.WARNING, "event bus: {0}; asking again from {1}", why, last);
+        life++;
+        deadlines.cancel(next);
+        if (future.isConnected()) {
+            future.getSession().closeNow();
+        } else {
+            future.cancel();
+        }
+        next = deadlines.set(clock.now().plus(RETRY), this::connect);
+    }
+
+    // ---- lines
+
+    private void said(long mine, String line) {
+        if (mine != life || line.isEmpty()) {
+            return;
+        }
+        await(mine);
+        if (line.matches("[0-9]{1,18}")) {
+            if (Long.parseLong(line) > last) {
+                gap(mine);
+            }
+            return;
+        }
+        Fields event;
+        try (JsonParser parser = json.createParser(line)) {
+            event = Fields.of(parser);
+            take(mine, event);
+        } catch (IOException | BadInput e) {
+            LOG.log(Level.WARNING, "event bus: a line can''t be read: {0}", e.getMessage());
+        }
+    }
+
+    private void take(long mine, Fields event) {
+        long offset = event.whole(Roster.OFFSET);
+        if (offset <= last) {
+            return;
+        }
+        if (offset > last + 1) {
+            gap(mine);
+            return;
+        }
+        Roster roster = event.has(Roster.EVENT) ? Roster.of(event) : null;
+        last = offset;
+        counters.add(Count.BUS_EVENTS);
+        if (roster != null) {
+            listener.accept(roster);
+        }
+    }
+
+    private void gap(long mine) {
+        counters.add(Count.BUS_GAPS);
+        lost(mine, "events are missing");
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltseam/service/Inbox.java
@@ -0,0 +1,41 @@
+package cobaltseam.service;
+
+import java.lang.System.Logger.Level;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import cobaltseam.dispatch.Span;
+import org.apache.mina.core.session.IoSession;
+
+/** What other threads hand over to the one that owns all state; a full inbox holds them up. */
+final class Inbox {
+    private static final System.Logger LOG = System.getLogger(Inbox.class.getName());
+    private static final int ROOM = 4096;
+
+    private final BlockingQueue<Runnable> tasks = new ArrayBlockingQueue<>(ROOM);
+
+    /** Hands a task over; what it throws ends no more than this connection. */
+    void post(IoSession connection, Runnable task) {
+        try {
+            tasks.put(() -> {
+                try {
+                    task.run();
+                } catch (RuntimeException e) {
+                    LOG.log(Level.ERROR, "connection closed by a fault", e);
+                    if (connection != null) {
+                        connection.closeNow();
+                    }
+                }
+            });
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** The next task, or null if none comes within this span. */
+    Runnable next(Span most) throws InterruptedException {
+        Runnable task = tasks.poll();
+        return task != null || !most.isPositive() ? task : tasks.poll(most.us(), TimeUnit.MICROSECONDS);
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltseam/service/Installation.java
@@ -0,0 +1,89 @@
+package cobaltseam.service;
+
+import java.io.File;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import cobaltseam.deployment.BadInput;
+import cobaltseam.deployment.DeploymentReader;
+import cobaltseam.deployment.Fields;
+import cobaltseam.dispatch.Deployment;
+import cobaltseam.dispatch.Span;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+
+/** What the service is told by its configuration file: where it stands, and the deployment around it. */
+record Installation(String name, InetSocketAddress listen, InetSocketAddress bus, long seed, int sockets,
+                    long knownOffset, List<Roster> known, Deployment deployment, Span connectTimeout,
+                    Span connectionIdle, int sendsPerConnection, List<String> reported) {
+    private static final int HEX = 16;
+    private static final int FEW_SOCKETS = 256;
+    private static final long US_PER_MS = 1000;
+
+    /** Reads the file that the environment names; what it also names must agree. */
+    static Installation read(Map<String, String> environment) {
+        String path = environment.get("GW_CONFIG");
+        if (path == null || path.isEmpty()) {
+            throw new BadInput("GW_CONFIG names no configuration file");
+        }
+        Fields told;
+        try (JsonParser parser = new JsonFactory().createParser(new File(path))) {
+            told = Fields.of(parser);
+        } catch (JsonProcessingException e) {
+            throw new BadInput(path + " is not JSON: " + e.getOriginalMessage());
+        } catch (IOException e) {
+            throw new BadInput(path + " can't be read: " + e.getMessage());
+        }
+        Installation read = of(told);
+        agree(environment, "GW_NAME", read.name);
+        agree(environment, "GW_LISTEN", told.text("listen"));
+        return read;
+    }
+
+    private static void agree(Map<String, String> environment, String variable, String value) {
+        if (!value.equals(environment.getOrDefault(variable, value))) {
+            throw new BadInput(variable + " is " + environment.get(variable) + ", the configuration has " + value);
+        }
+    }
+
+    static Installation of(Fields told) {
+        Fields settings = told.object("settings");
+        Fields limits = settings.object("limits");
+        Fields known = told.object("known");
+        List<Roster> rosters = new ArrayList<>();
+        for (Fields event : known.objects("batch")) {
+            if (event.has(Roster.EVENT)) {
+                rosters.add(Roster.of(event));
+            }
+        }
+        String seed = told.text("seed");
+        if (!seed.matches("[0-9a-fA-F]{1,16}")) {
+            throw new BadInput("'seed' is not 16 hex digits");
+        }
+        return new Installation(told.text("name"), address(told.text("listen")), address(told.text("bus")),
+                Long.parseUnsignedLong(seed, HEX),
+                told.has("limits") ? (int) told.object("limits").whole("sockets", FEW_SOCKETS) : FEW_SOCKETS,
+                known.whole("offset"), rosters, DeploymentReader.read(settings),
+                new Span(limits.whole("connect_timeout_us", 250 * US_PER_MS)),
+                new Span(limits.whole("conn_idle_us", 0)),
+                (int) Math.max(1, limits.whole("streams_per_conn", 1)),
+                settings.has("load_report") && settings.object("load_report").has("fields")
+                        ? settings.object("load_report").texts("fields") : List.of());
+    }
+
+    /** An address with its port; no name is ever looked up. */
+    static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        String host = colon < 0 ? "" : text.substring(0, colon);
+        String port = text.substring(colon + 1);
+        if (!host.matches("[0-9.]+|\\[[0-9a-fA-F:]+]") || !port.matches("[0-9]{1,5}")
+                || Integer.parseInt(port) > 65_535) {
+            throw new BadInput("'" + text + "' is not an address with a port");
+        }
+        return new InetSocketAddress(host, Integer.parseInt(port));
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltseam/service/Roster.java
@@ -0,0 +1,65 @@
+package cobaltseam.service;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import cobaltseam.deployment.BadInput;
+import cobaltseam.deployment.Fields;
+import cobaltseam.dispatch.EngineId;
+import cobaltseam.dispatch.GroupId;
+import cobaltseam.dispatch.KindId;
+import cobaltseam.dispatch.Listing;
+import cobaltseam.dispatch.LocationId;
+import cobaltseam.dispatch.Moment;
+
+/** One event of the bus: what has changed in the list of engines, or the whole list, and their addresses. */
+record Roster(long offset, boolean whole, List<Listing> list, Map<EngineId, InetSocketAddress> addresses) {
+    static final String EVENT = "topology";
+    static final String OFFSET = "offset";
+    private static final int HEX = 16;
+    private static final long US_PER_MS = 1000;
+    private static final long FNV_BASIS = 0xcbf29ce484222325L;
+    private static final long FNV_PRIME = 0x100000001b3L;
+
+    static Roster of(Fields event) {
+        Fields told = event.object(EVENT);
+        List<Listing> list = new ArrayList<>();
+        Map<EngineId, InetSocketAddress> addresses = new HashMap<>();
+        for (Fields target : told.objects("targets")) {
+            EngineId engine = engine(target.text("uid"));
+            list.add(new Listing(engine, new LocationId(target.text("az", "")), new KindId(target.text("model", "")),
+                    new GroupId(target.whole("pod_group", 0)), standing(target.text("state")),
+                    new Moment(target.whole("boot_ms", 0) * US_PER_MS)));
+            if (target.has("endpoint")) {
+                addresses.put(engine, Installation.address(target.text("endpoint")));
+            }
+        }
+        return new Roster(event.whole(OFFSET, 0), told.flag("all"), list, addresses);
+    }
+
+    private static Listing.Standing standing(String state) {
+        return switch (state) {
+            case "in_service" -> Listing.Standing.UP;
+            case "terminating" -> Listing.Standing.DRAINING;
+            case "terminated" -> Listing.Standing.GONE;
+            default -> throw new BadInput("targets: unknown 'state' " + state);
+        };
+    }
+
+    /** The number in an engine's name, or, where it holds none, one made from the name alike everywhere. */
+    static EngineId engine(String uid) {
+        String digits = uid.substring(uid.lastIndexOf('-') + 1);
+        if (digits.matches("[0-9a-fA-F]{1,15}")) {
+            return new EngineId(Long.parseLong(digits, HEX));
+        }
+        long hash = FNV_BASIS;
+        for (byte b : uid.getBytes(StandardCharsets.UTF_8)) {
+            hash = (hash ^ b & 0xff) * FNV_PRIME;
+        }
+        return new EngineId(hash & Long.MAX_VALUE);
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltseam/service/Send.java
@@ -0,0 +1,41 @@
+package cobaltseam.service;
+
+import cobaltseam.dispatch.CommandId;
+import cobaltseam.dispatch.EngineId;
+import cobaltseam.dispatch.Moment;
+import cobaltseam.postgres.Statement;
+
+/** One send of a command, from its hand-over to the engines until its one outcome. */
+final class Send {
+    final CommandId command;
+    final int number;
+    final EngineId engine;
+    final Statement statement;
+    final Moment at;
+    final Moment until;
+    Deadlines.Deadline timeout;
+    EngineConnection connection;
+    /** Its place among what was written to its connection; zero while it is not. */
+    long position;
+    boolean over;
+    /** The result, once its first page has come, and how many pages are still to come. */
+    byte[][] pages;
+    int missing;
+    int bytes;
+    /** The engine's load as last reported, below zero where it was not. */
+    double queue = -1;
+    double inHand = -1;
+
+    Send(CommandId command, int number, EngineId engine, Statement statement, Moment at, Moment until) {
+        this.command = command;
+        this.number = number;
+        this.engine = engine;
+        this.statement = statement;
+        this.at = at;
+        this.until = until;
+    }
+
+    String call() {
+        return statement.call();
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltseam/service/Service.java
@@ -0,0 +1,127 @@
+package cobaltseam.service;
+
+import java.io.IOException;
+import java.lang.System.Logger.Level;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+import cobaltseam.dispatch.Moment;
+import cobaltseam.dispatch.Span;
+import cobaltseam.service.Counters.Count;
+import org.apache.mina.core.service.IoProcessor;
+import org.apache.mina.core.service.SimpleIoProcessorPool;
+import org.apache.mina.transport.socket.SocketSessionConfig;
+import org.apache.mina.transport.socket.nio.NioProcessor;
+import org.apache.mina.transport.socket.nio.NioSession;
+import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
+import org.apache.mina.transport.socket.nio.NioSocketConnector;
+
+/** One dispatcher on sockets: its start, the loop of the thread that owns all state, and its stop. */
+public final class Service {
+    private static final System.Logger LOG = System.getLogger(Service.class.getName());
+    /** New connections and commands may still come for this long after a stop is asked for. */
+    private static final Span STOP_AFTER = new Span(700_000);
+    /** What was written last gets this long to go out. */
+    private static final Span FLUSH_WITHIN = new Span(200_000);
+    private static final Span LONGEST_WAIT = new Span(1_000_000);
+    private static final int BACKLOG = 1024;
+    private static final int LARGEST_READ = 1 << 14;
+
+    private final Installation told;
+    private final Clock clock = new Clock();
+    private final Inbox inbox = new Inbox();
+    private final Deadlines deadlines = new Deadlines();
+    private final Counters counters = new Counters();
+    private final CountDownLatch ended = new CountDownLatch(1);
+    private final ExecutorService threads = Executors.newCachedThreadPool(Service::thread);
+    private final IoProcessor<NioSession> processor = new SimpleIoProcessorPool<>(NioProcessor.class, threads, 1, null);
+    private final Commands commands;
+    private final Clients clients;
+    private final EventBus bus;
+    private Moment leaveFrom;
+
+    private Service(Installation told) {
+        this.told = told;
+        Engines engines = new Engines(told, connector(), inbox, clock, deadlines, counters);
+        commands = new Commands(told.deployment(), told.seed(), engines, deadlines, clock, counters);
+        clients = new Clients(told, commands, new SplittableRandom(~told.seed()), inbox, clock, deadlines, counters);
+        bus = new EventBus(told, connector(), inbox, clock, deadlines, counters, commands::listed);
+    }
+
+    /** Serves until the process is told to stop. */
+    public static void run() throws IOException, InterruptedException {
+        Service service = new Service(Installation.read(System.getenv()));
+        Runtime.getRuntime().addShutdownHook(new Thread(service::stop, "stop"));
+        service.serve();
+    }
+
+    private static Thread thread(Runnable task) {
+        Thread thread = new Thread(task, "io");
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    private NioSocketConnector connector() {
+        NioSocketConnector connector = new NioSocketConnector(threads, processor);
+        tune(connector.getSessionConfig());
+        return connector;
+    }
+
+    private static void tune(SocketSessionConfig sessions) {
+        sessions.setTcpNoDelay(true);
+        sessions.setKeepAlive(true);
+        sessions.setMaxReadBufferSize(LARGEST_READ);
+    }
+
+    private void serve() throws IOException, InterruptedException {
+        told.known().forEach(commands::listed);
+        bus.connect();
+        NioSocketAcceptor acceptor = new NioSocketAcceptor(threads, processor);
+        tune(acceptor.getSessionConfig());
+        acceptor.setReuseAddress(true);
+        acceptor.setBacklog(BACKLOG);
+        acceptor.setHandler(clients);
+        acceptor.bind(told.listen());
+        LOG.log(Level.INFO, "{0} serves on {1}", told.name(), told.listen());
+        loop();
+        Moment until = clock.now().plus(FLUSH_WITHIN);
+        while (!clients.allWritten() && clock.now().before(until)) {
+            Thread.sleep(1);
+        }
+        ended.countDown();
+    }
+
+    private void loop() throws InterruptedException {
+        while (leaveFrom == null || clock.now().before(leaveFrom) || !commands.isEmpty()) {
+            Runnable task = inbox.next(deadlines.untilNext(clock.now(), LONGEST_WAIT));
+            if (task != null) {
+                task.run();
+            }
+            for (Runnable due = deadlines.due(clock.now()); due != null; due = deadlines.due(clock.now())) {
+                try {
+                    due.run();
+                } catch (RuntimeException e) {
+                    counters.add(Count.FAULTS);
+                    LOG.log(Level.ERROR, "a fault at a deadline", e);
+                }
+            }
+        }
+    }
+
+    /** Asked to stop: goes on serving until nothing is open, then tells what was done. */
+    private void stop() {
+        inbox.post(null, () -> {
+            leaveFrom = clock.now().plus(STOP_AFTER);
+            deadlines.set(leaveFrom, () -> { });
+        });
+        try {
+            ended.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        // Not by the log: it stops early when the process does.
+        System.err.println(counters);
+    }
+}
--- a/src/test/java/cobaltseam/adapter/AdapterTest.java
+++ b/src/test/java/cobaltseam/adapter/AdapterTest.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 
+import cobaltseam.deployment.BadInput;
 import org.junit.jupiter.api.Test;
 
 /** The wire, on a short exchange written for these tests. */
