A send has its connection alone and is given up by closing it

A trace of each send showed one engine going silent: sends called off there by KILL, their commands sent elsewhere. An engine that is cut off never reads the KILL, and the send counts as out until its connection closes. Ruled out: two sends of the module at once (none in the trace). To blame: Engines.giveUp, which took a written KILL for a send that had ended.

Now a send has a connection alone while descriptors allow it, and giving it up closes that; KILL remains for shared ones.

--- a/src/main/java/cobaltseam/service/EngineConnection.java
+++ b/src/main/java/cobaltseam/service/EngineConnection.java
@@ -35,8 +35,6 @@
     IoSession session;
     Moment heard;
     Moment idleSince;
-    /** A send timed out here though nothing at all had come since it was written. */
-    boolean silent;
     private long written;
 
     EngineConnection(EngineId engine, Moment opened) {
@@ -54,7 +52,7 @@
 
     /** Whether a further send of this id may go this way: each id only once, or its answers were mixed up. */
     boolean takes(String id, int most) {
-        return !silent && sends.size() < most && !sends.containsKey(id) && !ended.containsKey(id)
+        return sends.size() < most && !sends.containsKey(id) && !ended.containsKey(id)
                 && (session == null || session.isActive() && session.getScheduledWriteBytes() < MOST_WAITING);
     }
 
--- a/src/main/java/cobaltseam/service/Engines.java
+++ b/src/main/java/cobaltseam/service/Engines.java
@@ -3,6 +3,7 @@
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -160,22 +161,30 @@
         return send;
     }
 
+    /**
+     * The connection for one more send: an unused one, the last used first, or a new one; only where no
+     * more can be had is one shared. A send that is alone is given up by closing its connection, which
+     * holds also where an engine has gone silent, and cuts no other.
+     */
     private EngineConnection pick(Machine machine, EngineId engine, String id, Moment now) {
+        EngineConnection unused = null;
         for (EngineConnection c : List.copyOf(machine.connections)) {
-            if (idle.isPositive() && c.sends.isEmpty() && now.since(c.idleSince).compareTo(idle) > 0) {
+            if (c.sends.isEmpty() && idle.isPositive() && now.since(c.idleSince).compareTo(idle) > 0) {
                 drop(c);
-            } else if (c.takes(id, sendsPerConnection)) {
-                return c;
+            } else if (c.sends.isEmpty() && c.takes(id, sendsPerConnection)
+                    && (unused == null || unused.idleSince.before(c.idleSince))) {
+                unused = c;
             }
         }
-        return open(machine, engine, now);
+        EngineConnection own = unused == null ? open(machine, engine, now) : unused;
+        return own != null ? own : machine.connections.stream().filter(c -> c.takes(id, sendsPerConnection))
+                .min(Comparator.comparingInt(c -> c.sends.size())).orElse(null);
     }
 
     private EngineConnection open(Machine machine, EngineId engine, Moment now) {
         EngineConnection c = new EngineConnection(engine, now);
         c.key = connections.take(c);
         if (c.key == Slots.NONE) {
-            LOG.log(Level.WARNING, "no room for one more connection to an engine");
             return null;
         }
         machine.connections.add(c);
@@ -270,9 +279,13 @@
             end(send, Ending.UNREACHABLE);
             return;
         }
-        c.silent |= ending == Ending.TIMED_OUT && c.heard.before(send.at);
-        c.remember(send.call());
-        c.write(send.pages == null ? EngineCommands.kill(send.call()) : EngineCommands.discard(send.call()));
+        if (c.sends.size() == 1) {
+            c.sends.clear();
+            drop(c);
+        } else {
+            c.remember(send.call());
+            c.write(send.pages == null ? EngineCommands.kill(send.call()) : EngineCommands.discard(send.call()));
+        }
         end(send, ending);
     }
 
@@ -289,7 +302,7 @@
             if (c.sends.isEmpty()) {
                 c.idleSince = now;
                 Machine machine = machines.get(c.engine);
-                if (c.silent || machine != null && machine.standing == Listing.Standing.GONE) {
+                if (machine != null && machine.standing == Listing.Standing.GONE) {
                     drop(c);
                 }
             }
@@ -313,7 +326,6 @@
 
     private void answered(EngineConnection c, List<EngineAnswer> answers, String wrong) {
         c.heard = clock.now();
-        c.silent = false;
         for (EngineAnswer answer : answers) {
             if (connections.get(c.key) != c) {
                 return;
