Results gathered in a type of their own; bounds on what peers send; warm-up before readiness

One asked-for gap of the event bus no longer repeats for ever; a statement behind an open one is kept, a second one ends the connection.

--- a/src/main/java/cobaltseam/postgres/ClientParser.java
+++ b/src/main/java/cobaltseam/postgres/ClientParser.java
@@ -9,7 +9,7 @@
     /** The longest start-up packet, as PostgreSQL itself has it. */
     static final int LONGEST_STARTUP = 10_000;
     /** The longest message: a statement with its comment. */
-    static final int LONGEST_MESSAGE = 1 << 18;
+    static final int LONGEST_MESSAGE = 1 << 16;
     private static final int PROTOCOL_3_0 = 3 << 16;
     private static final int CANCEL = 1234 << 16 | 5678;
     private static final int SSL = 1234 << 16 | 5679;
--- a/src/main/java/cobaltseam/postgres/StatementScanner.java
+++ b/src/main/java/cobaltseam/postgres/StatementScanner.java
@@ -18,7 +18,10 @@
         }
     }
 
-    private static final Set<String> BEFORE_TABLE = Set.of("from", "join", "into", "update", "table", "only", "using");
+    private static final Set<String> BEFORE_TABLE = Set.of("from", "join", "into", "update", "table", "only",
+            "using");
+    private static final Set<String> AFTER_TABLES = Set.of("where", "group", "order", "set", "on", "select",
+            "values", "having", "limit", "union", "returning");
     private static final Set<String> IN_NAME = Set.of("as", "lateral", "if", "not", "exists");
     private static final Set<String> NOT_COUNTED = Set.of("staging");
     private static final int NONE = -1;
@@ -45,23 +48,32 @@
     }
 
     private Statement statement() throws Unusable {
-        skipSpace();
-        int from = at;
-        if (!isAt("/*") || !skipComment()) {
-            throw new Unusable("no comment with fields ahead of the statement");
+        int from = 0;
+        Map<String, String> fields = Map.of();
+        while (!fields.containsKey("op")) {
+            skipSpace();
+            from = at;
+            if (isAt("--")) {
+                skipLine();
+            } else if (isAt("/*") && skipComment()) {
+                fields = fields(new String(text, from + 2, at - from - 4, StandardCharsets.UTF_8));
+            } else {
+                throw new Unusable("no comment with fields ahead of the statement");
+            }
         }
-        Map<String, String> fields = fields(new String(text, from + 2, at - 2 - (from + 2), StandardCharsets.UTF_8));
         skipSpace();
-        int body = at;
-        String profile = required(fields, "op");
+        byte[] passed = Arrays.copyOf(text, from + text.length - at);
+        System.arraycopy(text, at, passed, from, text.length - at);
+        if (isEmpty(passed)) {
+            throw new Unusable("no statement behind the comment");
+        }
         String call = required(fields, "call");
         if (!call.matches("[0-9a-fA-F]{16}")) {
             throw new Unusable("'call' is not 16 hex digits");
         }
         double ttl = number(fields, "ttl", required(fields, "ttl"));
-        return new Statement(profile, call, (long) ttl, fields.get("org"),
-                number(fields, "work", "0"), number(fields, "space", "0"), dataSet(),
-                Arrays.copyOfRange(text, body, text.length));
+        return new Statement(required(fields, "op"), call, (long) ttl, fields.get("org"),
+                number(fields, "work", "0"), number(fields, "space", "0"), dataSet(), passed);
     }
 
     private static Map<String, String> fields(String comment) {
@@ -118,7 +130,7 @@
             } else if (b == '"' || isNameStart(b)) {
                 boolean quoted = b == '"';
                 String name = name();
-                if (!quoted && name.length() == 1 && at < text.length && text[at] == '\'' && "ebxn".contains(name)) {
+                if (!quoted && name.length() == 1 && at < text.length && text[at] == '\'') {
                     skipString(name.equals("e"));
                     expected = false;
                 } else if (!quoted && BEFORE_TABLE.contains(name)) {
@@ -131,8 +143,7 @@
                         return set;
                     }
                     expected = false;
-                } else if (!quoted && Set.of("where", "group", "order", "set", "on", "select", "values", "having",
-                        "limit", "union").contains(name)) {
+                } else if (!quoted && AFTER_TABLES.contains(name)) {
                     inList = false;
                     expected = false;
                 }
--- a/src/main/java/cobaltseam/service/Clients.java
+++ b/src/main/java/cobaltseam/service/Clients.java
@@ -16,6 +16,7 @@
 import cobaltseam.postgres.Replies;
 import cobaltseam.postgres.Statement;
 import cobaltseam.postgres.StatementScanner;
+import cobaltseam.resp.Result;
 import cobaltseam.service.Counters.Count;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.service.IoHandlerAdapter;
@@ -25,11 +26,16 @@
 final class Clients extends IoHandlerAdapter {
     private static final System.Logger LOG = System.getLogger(Clients.class.getName());
     private static final String CLIENT = "client";
-    /** Messages that may wait behind a statement; answers that may wait to be read. */
+    /** Messages that may wait behind a statement, one of them a statement; bytes that may wait to be read. */
     private static final int MOST_WAITING = 32;
-    private static final int MOST_UNREAD = 1 << 18;
+    private static final int MOST_UNREAD = 1 << 16;
+    private static final int MOST_UNREAD_ALL = 1 << 23;
+    private static final int COLUMNS = 3;
+    /** What is written last gets this long to be read before its connection is closed. */
+    private static final Span CLOSE_WITHIN = new Span(1_000_000);
     private static final Span START_WITHIN = new Span(10_000_000);
     private static final String COUNTERS = "show cobaltseam.counters";
+    private static final String INSERT = "insert";
     private static final int US_PER_MS = 1000;
 
     /** One connection. The parser belongs to the I/O thread, all else to the one that owns the state. */
@@ -51,8 +57,8 @@
         }
 
         @Override
-        public void answered(byte[][] pages) {
-            finish(this, rows(pages, text));
+        public void answered(Result result) {
+            finish(this, rows(result, text));
         }
 
         @Override
@@ -125,7 +131,7 @@
         if (client.key == Slots.NONE) {
             counters.add(Count.CLIENTS_TURNED_AWAY);
             write(client, new Replies().error("FATAL", Replies.SHED, "too many clients"));
-            client.session.closeOnFlush();
+            close(client);
             return;
         }
         counters.add(Count.CLIENTS_OPENED);
@@ -152,7 +158,9 @@
             take(client, heard);
         } else if (heard.message() instanceof ClientMessage.Terminate) {
             client.session.closeNow();
-        } else if (client.waiting.size() < MOST_WAITING) {
+        } else if (client.waiting.size() < MOST_WAITING
+                && !(heard.message() instanceof ClientMessage.Query && client.waiting.stream()
+                        .anyMatch(h -> h.message() instanceof ClientMessage.Query))) {
             client.waiting.addLast(heard);
         } else {
             protocolError(client, "too many messages behind a statement");
@@ -193,18 +201,25 @@
         counters.add(Count.CLIENT_PROTOCOL_ERRORS);
         LOG.log(Level.WARNING, "client {0} closed: {1}", client.session.getRemoteAddress(), what);
         write(client, new Replies().error("FATAL", Replies.BAD_PROTOCOL, what));
-        client.session.closeOnFlush();
+        close(client);
         closed(client);
     }
 
+    /** Closes a connection once what was written is out, or soon. */
+    private void close(Client client) {
+        client.session.closeOnFlush();
+        deadlines.set(clock.now().plus(CLOSE_WITHIN), client.session::closeNow);
+    }
+
     /** Nothing more is owed for the statement of the session that this names. */
     private void cancel(ClientMessage.Cancel cancel) {
         slots.forEach(c -> {
             if ((int) c.key == cancel.session() && c.secret == cancel.secret() && c.started) {
                 long command = c.command;
                 c.command = Slots.NONE;
-                commands.departed(command);
                 c.busy = false;
+                commands.departed(command);
+                takeWaiting(c);
             }
         });
     }
@@ -232,14 +247,14 @@
             unusable(client, e.getMessage());
             return;
         }
-        client.busy = true;
-        client.text = statement.text();
-        long key = commands.take(statement, read, client);
+        long key = commands.take(statement, client);
         if (key == Slots.NONE) {
-            client.busy = false;
             unusable(client, "an unknown profile, or a call that is in hand already");
-        } else if (client.busy) {
+        } else {
+            client.busy = true;
+            client.text = statement.text();
             client.command = key;
+            commands.start(key, read);
         }
     }
 
@@ -257,35 +272,19 @@
         write(client, new Replies().error("ERROR", Replies.BAD_STATEMENT, why).ready());
     }
 
-    private static Replies rows(byte[][] pages, byte[] statement) {
-        Replies replies = new Replies();
-        int rows = 0;
-        for (byte[] page : pages) {
+    private static Replies rows(Result result, byte[] statement) {
+        Replies replies = new Replies().columns(Collections.nCopies(result.columns(COLUMNS), "column"));
+        for (byte[] page : result.pages()) {
             int from = 0;
             for (int i = 0; i < page.length; i++) {
                 if (page[i] == '\n') {
-                    if (rows++ == 0) {
-                        replies.columns(names(page, from, i));
-                    }
                     replies.row(page, from, i);
                     from = i + 1;
                 }
             }
         }
-        if (rows == 0) {
-            replies.columns(Collections.nCopies(3, "column"));
-        }
-        boolean insert = statement.length > 6
-                && new String(statement, 0, 6, StandardCharsets.ISO_8859_1).equalsIgnoreCase("insert");
-        return replies.complete((insert ? "INSERT 0 " : "SELECT ") + rows);
-    }
-
-    private static List<String> names(byte[] row, int from, int to) {
-        int columns = 1;
-        for (int i = from; i < to; i++) {
-            columns += row[i] == '\t' ? 1 : 0;
-        }
-        return Collections.nCopies(columns, "column");
+        String verb = new String(statement, 0, Math.min(statement.length, INSERT.length()), StandardCharsets.US_ASCII);
+        return replies.complete((verb.equalsIgnoreCase(INSERT) ? "INSERT 0 " : "SELECT ") + result.rowCount());
     }
 
     /** The one answer to the statement that this client has open; then what waits behind it. */
@@ -294,13 +293,18 @@
         client.command = Slots.NONE;
         client.text = null;
         write(client, replies.ready());
+        takeWaiting(client);
+    }
+
+    private void takeWaiting(Client client) {
         while (!client.busy && !client.waiting.isEmpty()) {
             take(client, client.waiting.removeFirst());
         }
     }
 
     private void write(Client client, Replies replies) {
-        if (client.session.getScheduledWriteBytes() > MOST_UNREAD) {
+        long unread = client.session.getScheduledWriteBytes();
+        if (unread > MOST_UNREAD || unread > 0 && client.session.getService().getScheduledWriteBytes() > MOST_UNREAD_ALL) {
             LOG.log(Level.WARNING, "client {0} closed: it does not read", client.session.getRemoteAddress());
             client.session.closeNow();
             return;
--- a/src/main/java/cobaltseam/service/Commands.java
+++ b/src/main/java/cobaltseam/service/Commands.java
@@ -21,13 +21,14 @@
 import cobaltseam.dispatch.ShareId;
 import cobaltseam.dispatch.Span;
 import cobaltseam.postgres.Statement;
+import cobaltseam.resp.Result;
 import cobaltseam.service.Counters.Count;
 
 /** The commands in hand: asks the module for each, and carries out what it says. */
 final class Commands implements Engines.Listener {
     /** Who waits for the final answer of a command. */
     interface Asker {
-        void answered(byte[][] pages);
+        void answered(Result result);
 
         void shed(Span comeBack);
 
@@ -84,32 +85,35 @@
     }
 
     /**
-     * Takes a command in, read whole at this moment. Its key, or NONE with nothing taken, where the
-     * profile is unknown or the call is one already in hand.
+     * Takes a command in. Its key, or NONE with nothing taken, where the profile is unknown or the call is
+     * one already in hand. Nothing is decided before {@link #start}.
      */
-    long take(Statement s, Moment read, Asker asker) {
-        CommandId id = new CommandId(s.call());
+    long take(Statement s, Asker asker) {
         InHand c = new InHand();
-        if (!profiles.contains(s.profile()) || byId.containsKey(id)) {
+        c.id = new CommandId(s.call());
+        c.statement = s;
+        c.asker = asker;
+        if (!profiles.contains(s.profile()) || byId.containsKey(c.id)) {
             return Slots.NONE;
         }
         c.key = slots.take(c);
-        if (c.key == Slots.NONE) {
-            return Slots.NONE;
+        if (c.key != Slots.NONE) {
+            counters.add(Count.COMMANDS_TAKEN);
+            byId.put(c.id, c);
         }
-        c.id = id;
-        c.statement = s;
-        c.asker = asker;
-        byId.put(id, c);
-        counters.add(Count.COMMANDS_TAKEN);
-        Command command = new Command(id, new ProfileId(s.profile()),
+        return c.key;
+    }
+
+    /** Asks the module for a command that was read whole at this moment; its asker may hear at once. */
+    void start(long key, Moment read) {
+        InHand c = slots.get(key);
+        Statement s = c.statement;
+        Command command = new Command(c.id, new ProfileId(s.profile()),
                 s.share() != null && shares.contains(s.share()) ? new ShareId(s.share()) : null, null,
                 read.plus(new Span(s.timeToLiveMs() * US_PER_MS)), new Span(Math.round(s.workMs() * US_PER_MS)),
                 s.dataSet() < 0 ? null : new DataSetId(s.dataSet()), s.memoryMb());
-        long key = c.key;
         carryOut(c, () -> dispatcher.place(command, clock.now()));
         follow();
-        return key;
     }
 
     /** Nobody waits for this command any more. */
@@ -155,7 +159,7 @@
         }
         if (answered != null) {
             counters.add(Count.COMMANDS_ANSWERED);
-            answered.answered(send.pages);
+            answered.answered(send.result);
         }
         follow();
     }
--- a/src/main/java/cobaltseam/service/Engines.java
+++ b/src/main/java/cobaltseam/service/Engines.java
@@ -18,6 +18,7 @@
 import cobaltseam.resp.EngineAnswer;
 import cobaltseam.resp.EngineCommands;
 import cobaltseam.resp.RespParser;
+import cobaltseam.resp.Result;
 import cobaltseam.service.Counters.Count;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.ConnectFuture;
@@ -37,8 +38,6 @@
     private static final System.Logger LOG = System.getLogger(Engines.class.getName());
     private static final String PARSER = "parser";
     private static final String CONNECTION = "connection";
-    private static final int MOST_PAGES = 64;
-    private static final int MOST_BYTES = 1 << 16;
     /** A connection idle for more than this part of the time after which engines close it is not used. */
     private static final double IDLE_USED = 0.9;
 
@@ -235,14 +234,12 @@
         if (connections.get(c.key) != c) {
             return;
         }
-        long written = 0;
         if (c.session != null) {
-            written = c.session.getWrittenMessages();
             c.session.closeNow();
         } else {
             c.future.cancel();
         }
-        remove(c, written);
+        remove(c, Long.MAX_VALUE);
     }
 
     /** Forgets a connection: what was never written whole never ran, the rest may have run. */
@@ -284,7 +281,7 @@
             drop(c);
         } else {
             c.remember(send.call());
-            c.write(send.pages == null ? EngineCommands.kill(send.call()) : EngineCommands.discard(send.call()));
+            c.write(send.result == null ? EngineCommands.kill(send.call()) : EngineCommands.discard(send.call()));
         }
         end(send, ending);
     }
@@ -365,7 +362,7 @@
                 }
             }
             case EngineAnswer.OK -> firstPage(c, send, answer);
-            case EngineAnswer.CHUNK -> page(send, answer.whole("page"), answer.body());
+            case EngineAnswer.CHUNK -> page(c, send, answer.whole("page"), answer.body());
             case EngineAnswer.FULL, EngineAnswer.OVER -> end(send, Ending.NO_ROOM);
             case EngineAnswer.ERROR -> end(send, Ending.ERROR);
             default -> protocolError(c, "an answer '" + answer.word() + "'");
@@ -387,41 +384,33 @@
 
     private void firstPage(EngineConnection c, Send send, EngineAnswer answer) {
         int pages = answer.whole("pages");
-        if (send.pages != null || pages < 1 || pages > MOST_PAGES) {
-            spoiled(send, "a result of " + pages + " pages");
+        if (send.result != null || !Result.canHave(pages)) {
+            spoiled(c, send, "a result of " + pages + " pages");
             return;
         }
-        send.pages = new byte[pages][];
-        send.missing = pages;
+        send.result = new Result(pages);
         for (int i = 1; i < pages; i++) {
             counters.add(Count.PAGES_ASKED);
             c.write(EngineCommands.scroll(send.call(), i));
         }
-        page(send, 0, answer.body());
+        page(c, send, 0, answer.body());
     }
 
-    private void page(Send send, int number, byte[] body) {
-        if (send.pages == null || number < 0 || number >= send.pages.length || send.pages[number] != null) {
-            spoiled(send, "page " + number + " is none of those to come");
-            return;
-        }
-        send.bytes += body.length;
-        if (send.bytes > MOST_BYTES || body.length > 0 && body[body.length - 1] != '\n') {
-            spoiled(send, "page " + number + " is too long or not whole");
-            return;
-        }
-        send.pages[number] = body;
-        if (--send.missing == 0) {
+    private void page(EngineConnection c, Send send, int number, byte[] body) {
+        String wrong = send.result == null ? "a page before the first" : send.result.add(number, body);
+        if (wrong != null) {
+            spoiled(c, send, wrong);
+        } else if (send.result.isWhole()) {
             end(send, Ending.ANSWERED);
         }
     }
 
     /** A result that can't be passed on counts as the engine's error. */
-    private void spoiled(Send send, String why) {
+    private void spoiled(EngineConnection c, Send send, String why) {
         counters.add(Count.ENGINE_PROTOCOL_ERRORS);
         LOG.log(Level.WARNING, "engine {0}: {1}", Long.toHexString(send.engine.value()), why);
-        send.connection.remember(send.call());
-        send.connection.write(EngineCommands.discard(send.call()));
+        c.remember(send.call());
+        c.write(EngineCommands.discard(send.call()));
         end(send, Ending.ERROR);
     }
 }
--- a/src/main/java/cobaltseam/service/EventBus.java
+++ b/src/main/java/cobaltseam/service/EventBus.java
@@ -40,6 +40,7 @@
     private final Consumer<Roster> listener;
     private final JsonFactory json = new JsonFactory();
     private long last;
+    private long askedAnewFrom = -1;
     /** Counts connections; what an earlier one still says is passed over. */
     private long life;
     private ConnectFuture future;
@@ -147,40 +148,48 @@
             return;
         }
         await(mine);
-        if (line.matches("[0-9]{1,18}")) {
-            if (Long.parseLong(line) > last) {
-                gap(mine);
+        try {
+            if (line.matches("[0-9]{1,18}")) {
+                number(mine, Long.parseLong(line));
+            } else {
+                event(mine, line);
             }
-            return;
+        } catch (IOException | BadInput e) {
+            LOG.log(Level.WARNING, "event bus: a line can''t be used: {0}", e.getMessage());
         }
+    }
+
+    /** The number of the last event, alone: all up to it should have come. */
+    private void number(long mine, long number) {
+        if (number > last && !missing(mine)) {
+            last = number;
+        }
+    }
+
+    private void event(long mine, String line) throws IOException {
         Fields event;
         try (JsonParser parser = json.createParser(line)) {
             event = Fields.of(parser);
-            take(mine, event);
-        } catch (IOException | BadInput e) {
-            LOG.log(Level.WARNING, "event bus: a line can''t be read: {0}", e.getMessage());
         }
-    }
-
-    private void take(long mine, Fields event) {
         long offset = event.whole(Roster.OFFSET);
-        if (offset <= last) {
+        if (offset <= last || offset > last + 1 && missing(mine)) {
             return;
         }
-        if (offset > last + 1) {
-            gap(mine);
-            return;
-        }
-        Roster roster = event.has(Roster.EVENT) ? Roster.of(event) : null;
         last = offset;
         counters.add(Count.BUS_EVENTS);
-        if (roster != null) {
-            listener.accept(roster);
+        if (event.has(Roster.EVENT)) {
+            listener.accept(Roster.of(event));
         }
     }
 
-    private void gap(long mine) {
+    /** Events are missing: asks for them anew, but only once, or one that can't be used would hold up all. */
+    private boolean missing(long mine) {
+        if (askedAnewFrom == last) {
+            return false;
+        }
+        askedAnewFrom = last;
         counters.add(Count.BUS_GAPS);
         lost(mine, "events are missing");
+        return true;
     }
 }
--- a/src/main/java/cobaltseam/service/Installation.java
+++ b/src/main/java/cobaltseam/service/Installation.java
@@ -21,8 +21,7 @@
                     long knownOffset, List<Roster> known, Deployment deployment, Span connectTimeout,
                     Span connectionIdle, int sendsPerConnection, List<String> reported) {
     private static final int HEX = 16;
-    private static final int FEW_SOCKETS = 256;
-    private static final long US_PER_MS = 1000;
+    private static final int LAST_PORT = 65_535;
 
     /** Reads the file that the environment names; what it also names must agree. */
     static Installation read(Map<String, String> environment) {
@@ -66,9 +65,9 @@
         }
         return new Installation(told.text("name"), address(told.text("listen")), address(told.text("bus")),
                 Long.parseUnsignedLong(seed, HEX),
-                told.has("limits") ? (int) told.object("limits").whole("sockets", FEW_SOCKETS) : FEW_SOCKETS,
+                (int) told.object("limits").whole("sockets"),
                 known.whole("offset"), rosters, DeploymentReader.read(settings),
-                new Span(limits.whole("connect_timeout_us", 250 * US_PER_MS)),
+                new Span(limits.whole("connect_timeout_us")),
                 new Span(limits.whole("conn_idle_us", 0)),
                 (int) Math.max(1, limits.whole("streams_per_conn", 1)),
                 settings.has("load_report") && settings.object("load_report").has("fields")
@@ -81,7 +80,7 @@
         String host = colon < 0 ? "" : text.substring(0, colon);
         String port = text.substring(colon + 1);
         if (!host.matches("[0-9.]+|\\[[0-9a-fA-F:]+]") || !port.matches("[0-9]{1,5}")
-                || Integer.parseInt(port) > 65_535) {
+                || Integer.parseInt(port) > LAST_PORT) {
             throw new BadInput("'" + text + "' is not an address with a port");
         }
         return new InetSocketAddress(host, Integer.parseInt(port));
--- a/src/main/java/cobaltseam/service/Send.java
+++ b/src/main/java/cobaltseam/service/Send.java
@@ -4,6 +4,7 @@
 import cobaltseam.dispatch.EngineId;
 import cobaltseam.dispatch.Moment;
 import cobaltseam.postgres.Statement;
+import cobaltseam.resp.Result;
 
 /** One send of a command, from its hand-over to the engines until its one outcome. */
 final class Send {
@@ -18,10 +19,8 @@
     /** Its place among what was written to its connection; zero while it is not. */
     long position;
     boolean over;
-    /** The result, once its first page has come, and how many pages are still to come. */
-    byte[][] pages;
-    int missing;
-    int bytes;
+    /** Null until the first page has come. */
+    Result result;
     /** The engine's load as last reported, below zero where it was not. */
     double queue = -1;
     double inHand = -1;
--- a/src/main/java/cobaltseam/service/Service.java
+++ b/src/main/java/cobaltseam/service/Service.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
@@ -36,25 +37,47 @@
     private final Counters counters = new Counters();
     private final CountDownLatch ended = new CountDownLatch(1);
     private final ExecutorService threads = Executors.newCachedThreadPool(Service::thread);
-    private final IoProcessor<NioSession> processor = new SimpleIoProcessorPool<>(NioProcessor.class, threads, 1, null);
+    /** One for both sides: the process has one core. */
+    private final IoProcessor<NioSession> processor =
+            new SimpleIoProcessorPool<>(NioProcessor.class, threads, 1, null);
+    private final NioSocketAcceptor acceptor = new NioSocketAcceptor(threads, processor);
+    private final NioSocketConnector toEngines = new NioSocketConnector(threads, processor);
+    private final NioSocketConnector toBus = new NioSocketConnector(threads, processor);
     private final Commands commands;
     private final Clients clients;
     private final EventBus bus;
     private Moment leaveFrom;
 
-    private Service(Installation told) {
+    Service(Installation told) {
         this.told = told;
-        Engines engines = new Engines(told, connector(), inbox, clock, deadlines, counters);
+        Engines engines = new Engines(told, toEngines, inbox, clock, deadlines, counters);
         commands = new Commands(told.deployment(), told.seed(), engines, deadlines, clock, counters);
         clients = new Clients(told, commands, new SplittableRandom(~told.seed()), inbox, clock, deadlines, counters);
-        bus = new EventBus(told, connector(), inbox, clock, deadlines, counters, commands::listed);
+        bus = new EventBus(told, toBus, inbox, clock, deadlines, counters, commands::listed);
+        tune(toEngines.getSessionConfig());
+        tune(toBus.getSessionConfig());
+        tune(acceptor.getSessionConfig());
+        acceptor.setReuseAddress(true);
+        acceptor.setBacklog(BACKLOG);
+        acceptor.setHandler(clients);
     }
 
     /** Serves until the process is told to stop. */
     public static void run() throws IOException, InterruptedException {
-        Service service = new Service(Installation.read(System.getenv()));
-        Runtime.getRuntime().addShutdownHook(new Thread(service::stop, "stop"));
-        service.serve();
+        Installation told = Installation.read(System.getenv());
+        Warmup.run(told);
+        Service service = new Service(told);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            service.stop();
+            // Not by the log: it stops early when the process does.
+            System.err.println(service.counters);
+        }, "stop"));
+        try {
+            service.open();
+            service.loop();
+        } finally {
+            service.ended.countDown();
+        }
     }
 
     private static Thread thread(Runnable task) {
@@ -63,37 +86,26 @@
         return thread;
     }
 
-    private NioSocketConnector connector() {
-        NioSocketConnector connector = new NioSocketConnector(threads, processor);
-        tune(connector.getSessionConfig());
-        return connector;
-    }
-
     private static void tune(SocketSessionConfig sessions) {
         sessions.setTcpNoDelay(true);
         sessions.setKeepAlive(true);
         sessions.setMaxReadBufferSize(LARGEST_READ);
     }
 
-    private void serve() throws IOException, InterruptedException {
+    /** Takes clients in, once the list of engines is read. */
+    void open() throws IOException {
         told.known().forEach(commands::listed);
         bus.connect();
-        NioSocketAcceptor acceptor = new NioSocketAcceptor(threads, processor);
-        tune(acceptor.getSessionConfig());
-        acceptor.setReuseAddress(true);
-        acceptor.setBacklog(BACKLOG);
-        acceptor.setHandler(clients);
         acceptor.bind(told.listen());
-        LOG.log(Level.INFO, "{0} serves on {1}", told.name(), told.listen());
-        loop();
-        Moment until = clock.now().plus(FLUSH_WITHIN);
-        while (!clients.allWritten() && clock.now().before(until)) {
-            Thread.sleep(1);
-        }
-        ended.countDown();
+        LOG.log(Level.INFO, "{0} serves on {1}", told.name(), address());
     }
 
-    private void loop() throws InterruptedException {
+    InetSocketAddress address() {
+        return acceptor.getLocalAddress();
+    }
+
+    /** Runs what is handed over and what is due, until it is to stop and nothing is open. */
+    void loop() throws InterruptedException {
         while (leaveFrom == null || clock.now().before(leaveFrom) || !commands.isEmpty()) {
             Runnable task = inbox.next(deadlines.untilNext(clock.now(), LONGEST_WAIT));
             if (task != null) {
@@ -108,10 +120,15 @@
                 }
             }
         }
+        Moment until = clock.now().plus(FLUSH_WITHIN);
+        while (!clients.allWritten() && clock.now().before(until)) {
+            Thread.sleep(1);
+        }
+        ended.countDown();
     }
 
-    /** Asked to stop: goes on serving until nothing is open, then tells what was done. */
-    private void stop() {
+    /** Asks the loop to end: it goes on serving until nothing is open. Returns when it has ended. */
+    void stop() {
         inbox.post(null, () -> {
             leaveFrom = clock.now().plus(STOP_AFTER);
             deadlines.set(leaveFrom, () -> { });
@@ -121,7 +138,14 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        // Not by the log: it stops early when the process does.
-        System.err.println(counters);
+    }
+
+    /** Closes what is open; for a service that ends before its process does. */
+    void close() {
+        acceptor.dispose();
+        toEngines.dispose();
+        toBus.dispose();
+        processor.dispose();
+        threads.shutdownNow();
     }
 }
