Load reports reach the module under the names of the settings

Seen: a trace of what engines answer shows rep=pending:0;busy_reqs:6.482. To blame: Engines.take. The adapter and the service now share the two names.

--- a/src/main/java/cobaltseam/adapter/Instance.java
+++ b/src/main/java/cobaltseam/adapter/Instance.java
@@ -51,8 +51,8 @@
         dispatcher = new Dispatcher(deployment, born.whole("nonce64"));
         List<String> reported = told.has("load_report") && told.object("load_report").has("fields")
                 ? told.object("load_report").texts("fields") : List.of();
-        queueAt = reported.indexOf("pending");
-        inHandAt = reported.indexOf("busy_reqs");
+        queueAt = reported.indexOf(DeploymentReader.QUEUE_REPORT);
+        inHandAt = reported.indexOf(DeploymentReader.IN_HAND_REPORT);
         subscribes = told.text("discovery", "").equals("subscribe");
         this.reply = reply;
         if (subscribes) {
--- a/src/main/java/cobaltseam/deployment/DeploymentReader.java
+++ b/src/main/java/cobaltseam/deployment/DeploymentReader.java
@@ -12,6 +12,10 @@
 
 /** Turns the wire's start-up parameters into what a dispatcher is told of its deployment. */
 public final class DeploymentReader {
+    /** The names in load reports of what an engine holds waiting for memory, and of all that it holds. */
+    public static final String QUEUE_REPORT = "pending";
+    public static final String IN_HAND_REPORT = "busy_reqs";
+
     private DeploymentReader() {
     }
 
--- a/src/main/java/cobaltseam/service/Engines.java
+++ b/src/main/java/cobaltseam/service/Engines.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 
+import cobaltseam.deployment.DeploymentReader;
 import cobaltseam.dispatch.CommandId;
 import cobaltseam.dispatch.EngineId;
 import cobaltseam.dispatch.Listing;
@@ -350,8 +351,8 @@
             late(c, answer);
             return;
         }
-        double inHand = answer.reported("inflight");
-        double queue = answer.reported("queue");
+        double inHand = answer.reported(DeploymentReader.IN_HAND_REPORT);
+        double queue = answer.reported(DeploymentReader.QUEUE_REPORT);
         send.inHand = inHand >= 0 ? inHand : send.inHand;
         send.queue = queue >= 0 ? queue : send.queue;
         switch (answer.word()) {
--- a/src/main/java/cobaltseam/service/Installation.java
+++ b/src/main/java/cobaltseam/service/Installation.java
@@ -19,7 +19,7 @@
 /** What the service is told by its configuration file: where it stands, and the deployment around it. */
 record Installation(String name, InetSocketAddress listen, InetSocketAddress bus, long seed, int sockets,
                     long knownOffset, List<Roster> known, Deployment deployment, Span connectTimeout,
-                    Span connectionIdle, int sendsPerConnection, List<String> reported) {
+                    Span connectionIdle, int sendsPerConnection) {
     private static final int HEX = 16;
     private static final int LAST_PORT = 65_535;
 
@@ -69,9 +69,7 @@
                 known.whole("offset"), rosters, DeploymentReader.read(settings),
                 new Span(limits.whole("connect_timeout_us")),
                 new Span(limits.whole("conn_idle_us", 0)),
-                (int) Math.max(1, limits.whole("streams_per_conn", 1)),
-                settings.has("load_report") && settings.object("load_report").has("fields")
-                        ? settings.object("load_report").texts("fields") : List.of());
+                (int) Math.max(1, limits.whole("streams_per_conn", 1)));
     }
 
     /** An address with its port; no name is ever looked up. */
