--- a/src/main/java/cobaltseam/Main.java
+++ b/src/main/java/cobaltseam/Main.java
@@ -9,7 +9,7 @@
 import cobaltseam.deployment.BadInput;
 import cobaltseam.service.Service;
 
-/** The command line: its one word names the wire to speak. */
+/** The command line: its one word names what to do. */
 public final class Main {
     private static final String LOG_FORMAT = "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n";
 
@@ -17,17 +17,16 @@
     }
 
     public static void main(String[] args) throws InterruptedException {
-        String wire = args.length == 1 ? args[0] : "";
+        System.setProperty("java.util.logging.SimpleFormatter.format", LOG_FORMAT);
+        String word = args.length == 1 ? args[0] : "";
         try {
-            switch (wire) {
+            switch (word) {
                 case "adapter" -> new Adapter().run(new FileInputStream(FileDescriptor.in),
                         new FileOutputStream(FileDescriptor.out));
-                case "serve" -> {
-                    System.setProperty("java.util.logging.SimpleFormatter.format", LOG_FORMAT);
-                    Service.run();
-                }
+                case "serve" -> Service.run();
+                case "rehearse" -> Service.rehearse();
                 default -> {
-                    System.err.println("usage: java -jar cobaltseam.jar adapter|serve");
+                    System.err.println("usage: java -jar cobaltseam.jar adapter|serve|rehearse");
                     System.exit(2);
                 }
             }
--- a/src/main/java/cobaltseam/service/Installation.java
+++ b/src/main/java/cobaltseam/service/Installation.java
@@ -72,6 +72,11 @@
                 (int) Math.max(1, limits.whole("streams_per_conn", 1)));
     }
 
+    Installation listeningOn(InetSocketAddress other) {
+        return new Installation(name, other, bus, seed, sockets, knownOffset, known, deployment, connectTimeout,
+                connectionIdle, sendsPerConnection);
+    }
+
     /** An address with its port; no name is ever looked up. */
     static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
--- a/src/main/java/cobaltseam/service/Service.java
+++ b/src/main/java/cobaltseam/service/Service.java
@@ -1,8 +1,11 @@
 package cobaltseam.service;
 
 import java.io.IOException;
+import java.io.OutputStream;
 import java.lang.System.Logger.Level;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
@@ -80,6 +83,31 @@
         }
     }
 
+    /** Checks a configuration: opens a service on a free loopback port, asks it one empty query, and ends. */
+    public static void rehearse() throws IOException, InterruptedException {
+        Installation told = Installation.read(System.getenv());
+        Warmup.run(told);
+        Service service = new Service(told.listeningOn(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)));
+        service.open();
+        Thread asker = new Thread(service::askOnce);
+        asker.start();
+        service.loop();
+        asker.join();
+        service.close();
+        System.out.println(told.name() + ": " + service.counters);
+    }
+
+    private void askOnce() {
+        try (Socket socket = new Socket(address().getAddress(), address().getPort())) {
+            OutputStream out = socket.getOutputStream();
+            out.write(new byte[] {0, 0, 0, 9, 0, 3, 0, 0, 0, 'Q', 0, 0, 0, 5, 0, 'X', 0, 0, 0, 4});
+            socket.getInputStream().readAllBytes();
+        } catch (IOException e) {
+            LOG.log(Level.ERROR, "no answer from a service just opened: {0}", e.getMessage());
+        }
+        stop();
+    }
+
     private static Thread thread(Runnable task) {
         Thread thread = new Thread(task, "io");
         thread.setDaemon(true);
