--- a/src/main/java/cobaltseam/service/Warmup.java
+++ b/src/main/java/cobaltseam/service/Warmup.java
@@ -28,7 +28,7 @@
  */
 final class Warmup {
     /** Commands played: enough for the quick compiler, which takes code up after some hundred calls. */
-    private static final int COMMANDS = 1500;
+    private static final int COMMANDS = 500;
     private static final Span STEP = new Span(10_000);
     private static final int OPEN = 8;
 
@@ -79,7 +79,7 @@
     }
 
     private static void wires(int i) {
-        String call = String.format("%016x", i);
+        String call = Long.toHexString(Long.MIN_VALUE | i);
         byte[] text = ("/* op=a,call=" + call + ",ttl=1500,work=1.5,space=2 */ SELECT 'x', count(*) "
                 + "FROM s_1.t WHERE a = 'b' GROUP BY c").getBytes(StandardCharsets.UTF_8);
         try {
