A fault of a decision is asked again later, not for ever; more tests of connections

A module that threw at each question would have held the loop: after a fault it is now asked again 0.1 s later. A client that does not read is forgotten at once: one more statement of it was still taken, seen in the test. New tests: sends that share a connection where descriptors are few, idle and outdated connections, a connection that never comes up, a client that does not read.

--- a/src/main/java/cobaltseam/service/Clients.java
+++ b/src/main/java/cobaltseam/service/Clients.java
@@ -307,6 +307,7 @@
         if (unread > MOST_UNREAD || unread > 0 && client.session.getService().getScheduledWriteBytes() > MOST_UNREAD_ALL) {
             LOG.log(Level.WARNING, "client {0} closed: it does not read", client.session.getRemoteAddress());
             client.session.closeNow();
+            closed(client);
             return;
         }
         client.session.write(IoBuffer.wrap(replies.bytes()));
--- a/src/main/java/cobaltseam/service/Commands.java
+++ b/src/main/java/cobaltseam/service/Commands.java
@@ -38,6 +38,8 @@
     private static final System.Logger LOG = System.getLogger(Commands.class.getName());
     private static final int US_PER_MS = 1000;
     private static final int MOST_OPEN = 1 << 16;
+    /** After a fault of the module it is asked again after this, not at once, or one fault would repeat. */
+    private static final Span AFTER_FAULT = new Span(100_000);
 
     /** One command: while it is open someone waits, and beyond that a send may be out. */
     private static final class InHand {
@@ -171,9 +173,25 @@
 
     /** Follows the module until it names a span to wait, and wakes up after that. */
     private void follow() {
+        deadlines.cancel(wake);
+        long before = counters.of(Count.FAULTS);
+        Span wait;
+        try {
+            wait = followed(before);
+        } catch (RuntimeException e) {
+            fault(e);
+            wait = AFTER_FAULT;
+        }
+        wake = wait == null ? null : deadlines.set(clock.now().plus(wait), this::follow);
+    }
+
+    private Span followed(long faults) {
         Moment now = clock.now();
         Pause pause = dispatcher.pause(now);
         while (pause.span() != null && !pause.span().isPositive()) {
+            if (counters.of(Count.FAULTS) > faults) {
+                return AFTER_FAULT;
+            }
             InHand c = pause.command() == null ? null : byId.get(pause.command().id());
             if (pause.callOff() >= 0 && c != null && c.out != null && c.out.number == pause.callOff()) {
                 engines.callOff(c.out);
@@ -186,8 +204,12 @@
             now = clock.now();
             pause = dispatcher.pause(now);
         }
-        deadlines.cancel(wake);
-        wake = pause.span() == null ? null : deadlines.set(now.plus(pause.span()), this::follow);
+        return pause.span();
+    }
+
+    private void fault(RuntimeException e) {
+        counters.add(Count.FAULTS);
+        LOG.log(Level.ERROR, "a fault in a decision", e);
     }
 
     /** Asks the module for one command; a fault of its code fails this command and no other. */
@@ -196,8 +218,7 @@
         try {
             p = asked.get();
         } catch (RuntimeException e) {
-            counters.add(Count.FAULTS);
-            LOG.log(Level.ERROR, "a fault in a decision", e);
+            fault(e);
             p = Placement.fail();
         }
         if (c == null || c.asker == null) {
--- a/src/main/java/cobaltseam/service/Inbox.java
+++ b/src/main/java/cobaltseam/service/Inbox.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 
 import cobaltseam.dispatch.Span;
+import cobaltseam.service.Counters.Count;
 import org.apache.mina.core.session.IoSession;
 
 /** What other threads hand over to the one that owns all state; a full inbox holds them up. */
@@ -14,6 +15,11 @@
     private static final int ROOM = 4096;
 
     private final BlockingQueue<Runnable> tasks = new ArrayBlockingQueue<>(ROOM);
+    private final Counters counters;
+
+    Inbox(Counters counters) {
+        this.counters = counters;
+    }
 
     /** Hands a task over; what it throws ends no more than this connection. */
     void post(IoSession connection, Runnable task) {
@@ -22,6 +28,7 @@
                 try {
                     task.run();
                 } catch (RuntimeException e) {
+                    counters.add(Count.FAULTS);
                     LOG.log(Level.ERROR, "connection closed by a fault", e);
                     if (connection != null) {
                         connection.closeNow();
--- a/src/main/java/cobaltseam/service/Service.java
+++ b/src/main/java/cobaltseam/service/Service.java
@@ -35,9 +35,9 @@
 
     private final Installation told;
     private final Clock clock = new Clock();
-    private final Inbox inbox = new Inbox();
     private final Deadlines deadlines = new Deadlines();
     private final Counters counters = new Counters();
+    private final Inbox inbox = new Inbox(counters);
     private final CountDownLatch ended = new CountDownLatch(1);
     private final ExecutorService threads = Executors.newCachedThreadPool(Service::thread);
     /** One for both sides: the process has one core. */
--- a/src/test/java/cobaltseam/service/ServiceTest.java
+++ b/src/test/java/cobaltseam/service/ServiceTest.java
@@ -14,6 +14,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -34,6 +35,8 @@
 /** The service between clients, engines and a bus that these tests play themselves, on loopback. */
 class ServiceTest {
     private static final int SOON_S = 10;
+    private static final int SOCKETS = 256;
+    private static final int IDLE_MS = 30_000;
     private static final String ROWS = "a\t1\tx\nb\t2\ty\n";
 
     private final List<AutoCloseable> open = new ArrayList<>();
@@ -223,9 +226,9 @@
         }
     }
 
-    private static String target(int uid, Peer engine, String state) {
+    private static String target(int uid, String engine, String state) {
         return "{\"uid\":\"s-%08x\",\"endpoint\":\"%s\",\"az\":\"z\",\"model\":\"m\",\"state\":\"%s\",\"boot_ms\":0}"
-                .formatted(uid, engine.address(), state);
+                .formatted(uid, engine, state);
     }
 
     private static String event(int offset, boolean all, String... targets) {
@@ -233,23 +236,31 @@
                 .formatted(offset, all, String.join(",", targets));
     }
 
-    private static Installation told(String bus, String... targets) throws IOException {
+    private static Installation told(String bus, int sockets, int idleMs, String... targets) throws IOException {
         return Installation.of(Fields.of(new JsonFactory().createParser("""
-                {"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"sockets":256},"bus":"%s",
+                {"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"sockets":%d},"bus":"%s",
                 "known":{"offset":7,"batch":[%s]},"settings":{"balancers":1,"position":0,"tick_us":5000,
                 "classes":[{"name":"look","aim_us":500000,"hard_limit_us":3000000,"repeat":"read_like","late_value":0.5},
                 {"name":"once","aim_us":500000,"hard_limit_us":3000000,"repeat":"non_idempotent","late_value":0.5}],
                 "machine_types":["m"],"family_info":{"cores_by_kind":[4]},"rules":{"cold_from":0.3},
                 "limits":{"most_tries":3,"cancel":true,"retry_after":true,"max_retry_after_us":500000,
-                "connect_timeout_us":250000,"conn_idle_us":30000000,"streams_per_conn":32}}}
-                """.formatted(bus, event(7, true, targets)))));
+                "connect_timeout_us":250000,"conn_idle_us":%d,"streams_per_conn":32}}}
+                """.formatted(sockets, bus, event(7, true, targets), idleMs * 1000))));
     }
 
     private Peer start(Peer... engines) throws IOException {
+        return start(SOCKETS, IDLE_MS, engines);
+    }
+
+    private Peer start(int sockets, int idleMs, Peer... engines) throws IOException {
+        return start(sockets, idleMs, Arrays.stream(engines).map(Peer::address).toArray(String[]::new));
+    }
+
+    private Peer start(int sockets, int idleMs, String... engines) throws IOException {
         Peer bus = new Peer(false);
         String[] targets = new String[engines.length];
         Arrays.setAll(targets, i -> target(i + 1, engines[i], "in_service"));
-        service = new Service(told(bus.address(), targets));
+        service = new Service(told(bus.address(), sockets, idleMs, targets));
         service.open();
         loop = new Thread(() -> {
             try {
@@ -279,7 +290,7 @@
     }
 
     private static String command(String profile, int call, int ttl) {
-        return "/* op=%s,call=%016x,ttl=%d,work=20 */ SELECT n FROM a_1.t".formatted(profile, call, ttl);
+        return "/* op=%s,call=%016x,ttl=%d,work=100 */ SELECT n FROM a_1.t".formatted(profile, call, ttl);
     }
 
     @Test
@@ -356,9 +367,10 @@
 
     @Test
     void refusedConnectionsProveThatNothingRan() throws Exception {
-        Peer engine = new Peer(true);
-        start(engine);
-        engine.close();
+        try (ServerSocket closed = new ServerSocket(0)) {
+            closed.close();
+            start(SOCKETS, IDLE_MS, "127.0.0.1:" + closed.getLocalPort());
+        }
         Client client = new Client(command("once", 1, 1000));
         assertEquals(List.of("error 53 pushback"), client.told());
     }
@@ -383,6 +395,95 @@
         assertEquals("SELECT 2", client.told().get(2));
     }
 
+    @Test
+    void whereDescriptorsAreFewSendsShareConnectionsAndAreGivenUpByWord() throws Exception {
+        Peer engine = new Peer(true);
+        start(4, IDLE_MS, engine);
+        Client one = new Client(command("once", 1, 700));
+        Message first = engine.next("PULL");
+        Client two = new Client(command("once", 2, 3000));
+        Message second = engine.next("PULL");
+        assertEquals(first.from, second.from);
+        assertEquals(List.of("KILL", first.id()), engine.next().items);
+        assertEquals(List.of("error 58"), one.told());
+        first.answer(first.id(), "200", "pages=2", ROWS);
+        assertEquals(List.of("DISCARD", first.id()), engine.next().items, "a late answer is dropped");
+        second.answer(second.id(), "200", "pages=1", ROWS);
+        assertEquals("SELECT 2", two.told().get(2));
+    }
+
+    @Test
+    void connectionsIdleForLongOrToAnEarlierLifeAreNotUsed() throws Exception {
+        Peer engine = new Peer(true);
+        Peer bus = start(SOCKETS, 200, engine);
+        Client client = new Client(look(1, 3000));
+        Message first = engine.next("PULL");
+        first.answer(first.id(), "200", "pages=1", ROWS);
+        client.told();
+        Thread.sleep(250);
+        client.query(client.out, look(2, 3000));
+        assertEquals("closed", poll(engine).items.get(0));
+        Message second = engine.next("PULL");
+        assertFalse(first.from.equals(second.from));
+        String restarted = target(1, engine.address(), "in_service").replace("\"boot_ms\":0",
+                "\"boot_ms\":" + (System.currentTimeMillis() + 60_000));
+        bus.next().say(event(8, false, restarted) + "\n");
+        assertEquals("closed", engine.next().items.get(0), "a machine that came back knows no earlier connection");
+    }
+
+    @Test
+    void aConnectionThatNeverComesUpProvesThatNothingRan() throws Exception {
+        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            List<Socket> waiting = new ArrayList<>();
+            for (int i = 0; i < 8; i++) {
+                Socket socket = new Socket();
+                waiting.add(socket);
+                try {
+                    socket.connect(full.getLocalSocketAddress(), 50);
+                } catch (IOException e) {
+                    break;
+                }
+            }
+            start(SOCKETS, IDLE_MS, "127.0.0.1:" + full.getLocalPort());
+            Client client = new Client(command("once", 1, 2000));
+            long asked = System.nanoTime();
+            assertEquals(List.of("error 53 pushback"), client.told());
+            assertTrue(System.nanoTime() - asked < TimeUnit.SECONDS.toNanos(2));
+            for (Socket socket : waiting) {
+                socket.close();
+            }
+        }
+    }
+
+    @Test
+    void aClientThatDoesNotReadLosesItsConnectionAndNobodyElse() throws Exception {
+        Peer engine = new Peer(true);
+        start(engine);
+        String page = ("x".repeat(990) + "\t\t\n").repeat(6);
+        Client lazy = new Client();
+        int asked = 0;
+        boolean closed = false;
+        while (!closed && asked < 2000) {
+            try {
+                lazy.query(lazy.out, look(++asked, 3000));
+            } catch (SocketException e) {
+                closed = true;
+            }
+            Message pull = closed ? null : engine.heard.poll(200, TimeUnit.MILLISECONDS);
+            for (int i = 0; pull != null && i < 8; i++) {
+                if (i > 0 && !engine.next().items.get(0).equals("SCROLL")) {
+                    break;
+                }
+                pull.answer(pull.id(), i == 0 ? "200" : "chunk", i == 0 ? "pages=8" : "page=" + i, page);
+            }
+        }
+        assertTrue(closed, "it was never closed");
+        Client other = new Client(look(9999, 3000));
+        Message pull = engine.next("PULL");
+        pull.answer(pull.id(), "200", "pages=1", ROWS);
+        assertEquals("SELECT 2", other.told().get(2));
+    }
+
     @Test
     void unusableStatementsAndMessagesGetErrorsAndReachNoEngine() throws Exception {
         Peer engine = new Peer(true);
@@ -432,7 +533,7 @@
         Peer bus = start(old);
         Message from = bus.next();
         assertEquals("from 7", from.items.get(0));
-        String change = event(8, false, target(1, old, "terminated"), target(2, fresh, "in_service"));
+        String change = event(8, false, target(1, old.address(), "terminated"), target(2, fresh.address(), "in_service"));
         from.say(change.substring(0, 30));
         from.say(change.substring(30) + "\nno json\n8\n");
         from.say("10\n");
@@ -472,7 +573,7 @@
     @Test
     void aConfigurationThatCantBeUsedIsTold() {
         for (String bad : List.of("nowhere:80", "127.0.0.1", "127.0.0.1:70000", "127.0.0.1:x", "")) {
-            assertThrows(BadInput.class, () -> told(bad), bad);
+            assertThrows(BadInput.class, () -> told(bad, SOCKETS, IDLE_MS), bad);
         }
         assertThrows(BadInput.class, () -> Installation.read(Map.of()));
         assertThrows(BadInput.class, () -> Installation.read(Map.of("GW_CONFIG", "/nowhere/config.json")));
