--- a/src/main/java/cobaltseam/service/Warmup.java
+++ b/src/main/java/cobaltseam/service/Warmup.java
@@ -23,12 +23,12 @@
 import cobaltseam.resp.RespParser;
 
 /**
- * Runs the code of the busiest paths before clients come, so that it is compiled by then. What it decides
+ * Runs the code of the busiest paths before clients come, so that it is loaded by then. What it decides
  * goes nowhere: it asks a module of its own, which no traffic reaches, on a clock that it makes up.
  */
 final class Warmup {
-    /** Commands played: enough for the quick compiler, which takes code up after some hundred calls. */
-    private static final int COMMANDS = 500;
+    /** Commands played: enough to load every class; more would compile more but hold up a restart. */
+    private static final int COMMANDS = 100;
     private static final Span STEP = new Span(10_000);
     private static final int OPEN = 8;
 
