--- a/src/main/java/cobaltseam/dispatch/Pause.java
+++ b/src/main/java/cobaltseam/dispatch/Pause.java
@@ -2,8 +2,8 @@
 
 /**
  * What to ask about next, and when: a held command (ask {@code place}), an engine to probe, a
- * command whose send to call off, or, with none named, only when to ask {@code pause} again. A span of zero means now; a null span
- * means that nothing waits.
+ * command whose send to call off, or, with none named, only when to ask {@code pause} again. A span of
+ * zero means now; a null span means that nothing waits.
  */
 public record Pause(Command command, EngineId probe, int callOff, Span span) {
     private static final int NONE = -1;
--- a/src/main/java/cobaltseam/postgres/Replies.java
+++ b/src/main/java/cobaltseam/postgres/Replies.java
@@ -43,7 +43,8 @@
     }
 
     public Replies error(String severity, String state, String text) {
-        String body = 'S' + severity + "\0V" + severity + "\0C" + state + "\0M" + text.replace('\0', ' ') + "\0\0";
+        String body = 'S' + severity + "\0V" + severity + "\0C" + state
+                + "\0M" + text.replace('\0', ' ') + "\0\0";
         return message('E', body.getBytes(StandardCharsets.UTF_8));
     }
 
--- a/src/main/java/cobaltseam/postgres/StatementScanner.java
+++ b/src/main/java/cobaltseam/postgres/StatementScanner.java
@@ -236,7 +236,8 @@
         while (tag < text.length && isNamePart(text[tag]) && text[tag] != '$') {
             tag++;
         }
-        if (tag >= text.length || text[tag] != '$' || at + 1 < tag && text[at + 1] >= '0' && text[at + 1] <= '9') {
+        boolean digit = at + 1 < tag && text[at + 1] >= '0' && text[at + 1] <= '9';
+        if (tag >= text.length || text[tag] != '$' || digit) {
             return false;
         }
         String quote = new String(text, at, tag + 1 - at, StandardCharsets.ISO_8859_1);
--- a/src/main/java/cobaltseam/service/Clients.java
+++ b/src/main/java/cobaltseam/service/Clients.java
@@ -64,7 +64,8 @@
         @Override
         public void shed(Span comeBack) {
             String advice = comeBack.isPositive() ? ", pushback=" + comeBack.us() / US_PER_MS : "";
-            finish(this, new Replies().error("ERROR", Replies.SHED, "shed, trying again is harmless" + advice));
+            finish(this, new Replies().error("ERROR", Replies.SHED,
+                    "shed, trying again is harmless" + advice));
         }
 
         @Override
@@ -283,8 +284,9 @@
                 }
             }
         }
-        String verb = new String(statement, 0, Math.min(statement.length, INSERT.length()), StandardCharsets.US_ASCII);
-        return replies.complete((verb.equalsIgnoreCase(INSERT) ? "INSERT 0 " : "SELECT ") + result.rowCount());
+        int length = Math.min(statement.length, INSERT.length());
+        boolean insert = new String(statement, 0, length, StandardCharsets.US_ASCII).equalsIgnoreCase(INSERT);
+        return replies.complete((insert ? "INSERT 0 " : "SELECT ") + result.rowCount());
     }
 
     /** The one answer to the statement that this client has open; then what waits behind it. */
@@ -304,7 +306,8 @@
 
     private void write(Client client, Replies replies) {
         long unread = client.session.getScheduledWriteBytes();
-        if (unread > MOST_UNREAD || unread > 0 && client.session.getService().getScheduledWriteBytes() > MOST_UNREAD_ALL) {
+        boolean all = client.session.getService().getScheduledWriteBytes() > MOST_UNREAD_ALL;
+        if (unread > MOST_UNREAD || unread > 0 && all) {
             LOG.log(Level.WARNING, "client {0} closed: it does not read", client.session.getRemoteAddress());
             client.session.closeNow();
             closed(client);
--- a/src/main/java/cobaltseam/service/Commands.java
+++ b/src/main/java/cobaltseam/service/Commands.java
@@ -112,7 +112,8 @@
         Statement s = c.statement;
         Command command = new Command(c.id, new ProfileId(s.profile()),
                 s.share() != null && shares.contains(s.share()) ? new ShareId(s.share()) : null, null,
-                read.plus(new Span(s.timeToLiveMs() * US_PER_MS)), new Span(Math.round(s.workMs() * US_PER_MS)),
+                read.plus(new Span(s.timeToLiveMs() * US_PER_MS)),
+                new Span(Math.round(s.workMs() * US_PER_MS)),
                 s.dataSet() < 0 ? null : new DataSetId(s.dataSet()), s.memoryMb());
         carryOut(c, () -> dispatcher.place(command, clock.now()));
         follow();
@@ -173,15 +174,14 @@
 
     /** Follows the module until it names a span to wait, and wakes up after that. */
     private void follow() {
-        deadlines.cancel(wake);
-        long before = counters.of(Count.FAULTS);
         Span wait;
         try {
-            wait = followed(before);
+            wait = followed(counters.of(Count.FAULTS));
         } catch (RuntimeException e) {
             fault(e);
             wait = AFTER_FAULT;
         }
+        deadlines.cancel(wake);
         wake = wait == null ? null : deadlines.set(clock.now().plus(wait), this::follow);
     }
 
@@ -195,6 +195,8 @@
             InHand c = pause.command() == null ? null : byId.get(pause.command().id());
             if (pause.callOff() >= 0 && c != null && c.out != null && c.out.number == pause.callOff()) {
                 engines.callOff(c.out);
+            } else if (pause.command() != null && c == null) {
+                dispatcher.departed(pause.command().id(), now);
             } else if (pause.command() != null) {
                 Command command = pause.command();
                 carryOut(c, () -> dispatcher.place(command, clock.now()));
@@ -220,12 +222,14 @@
         } catch (RuntimeException e) {
             fault(e);
             p = Placement.fail();
+            deadlines.set(clock.now(), () -> dispatcher.departed(c.id, clock.now()));
         }
         if (c == null || c.asker == null) {
             return;
         }
         switch (p.verdict()) {
-            case SEND -> c.out = engines.send(c.id, c.sends++, p.engine(), c.statement, p.sendTimeout(), clock.now());
+            case SEND -> c.out = engines.send(c.id, c.sends++, p.engine(), c.statement, p.sendTimeout(),
+                    clock.now());
             case SHED -> {
                 counters.add(Count.COMMANDS_SHED);
                 Asker asker = c.asker;
--- a/src/main/java/cobaltseam/service/Engines.java
+++ b/src/main/java/cobaltseam/service/Engines.java
@@ -91,7 +91,8 @@
         public void messageReceived(IoSession session, Object message) {
             List<EngineAnswer> answers = new ArrayList<>();
             RespParser parser = (RespParser) session.getAttribute(PARSER);
-            String wrong = parser.take(((IoBuffer) message).buf(), items -> answers.add(EngineAnswer.of(items)));
+            String wrong = parser.take(((IoBuffer) message).buf(),
+                    items -> answers.add(EngineAnswer.of(items)));
             inbox.post(session, () -> answered(connection(session), answers, wrong));
         }
 
@@ -282,7 +283,8 @@
             drop(c);
         } else {
             c.remember(send.call());
-            c.write(send.result == null ? EngineCommands.kill(send.call()) : EngineCommands.discard(send.call()));
+            c.write(send.result == null ? EngineCommands.kill(send.call())
+                    : EngineCommands.discard(send.call()));
         }
         end(send, ending);
     }
--- a/src/main/java/cobaltseam/service/Service.java
+++ b/src/main/java/cobaltseam/service/Service.java
@@ -55,7 +55,8 @@
         this.told = told;
         Engines engines = new Engines(told, toEngines, inbox, clock, deadlines, counters);
         commands = new Commands(told.deployment(), told.seed(), engines, deadlines, clock, counters);
-        clients = new Clients(told, commands, new SplittableRandom(~told.seed()), inbox, clock, deadlines, counters);
+        clients = new Clients(told, commands, new SplittableRandom(~told.seed()), inbox, clock, deadlines,
+                counters);
         bus = new EventBus(told, toBus, inbox, clock, deadlines, counters, commands::listed);
         tune(toEngines.getSessionConfig());
         tune(toBus.getSessionConfig());
