SIGHUP reads the configuration anew and moves to the event bus that it names

The logs held nothing after the start: SIGHUP ran the JVM's own shutdown, the hook waited for open commands, and the old event bus, which tells nothing more, was kept meanwhile. At fault: Service.run, which handled no SIGHUP; EventBus, whose address was final.

Now read off the loop, one reading at a time, handed over as one task. A file that can't be used is logged and counted.

--- a/src/main/java/cobaltseam/service/Engines.java
+++ b/src/main/java/cobaltseam/service/Engines.java
@@ -54,9 +54,9 @@
     private final Clock clock;
     private final Deadlines deadlines;
     private final Counters counters;
-    private final Span connectTimeout;
-    private final Span idle;
-    private final int sendsPerConnection;
+    private Span connectTimeout;
+    private Span idle;
+    private int sendsPerConnection;
     private final Map<EngineId, Machine> machines = new HashMap<>();
     private final Slots<EngineConnection> connections;
     private Listener listener;
@@ -68,9 +68,7 @@
         this.clock = clock;
         this.deadlines = deadlines;
         this.counters = counters;
-        connectTimeout = told.connectTimeout();
-        idle = told.connectionIdle().times(IDLE_USED);
-        sendsPerConnection = told.sendsPerConnection();
+        renewed(told);
         connections = new Slots<>(told.sockets() / 3);
         connector.setHandler(new Wire());
     }
@@ -79,6 +77,13 @@
         listener = to;
     }
 
+    /** Takes over what is told of connections. */
+    void renewed(Installation told) {
+        connectTimeout = told.connectTimeout();
+        idle = told.connectionIdle().times(IDLE_USED);
+        sendsPerConnection = told.sendsPerConnection();
+    }
+
     // ---- on the I/O thread: bytes to answers
 
     private final class Wire extends IoHandlerAdapter {
--- a/src/main/java/cobaltseam/service/EventBus.java
+++ b/src/main/java/cobaltseam/service/EventBus.java
@@ -5,6 +5,7 @@
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.function.Consumer;
 
 import cobaltseam.deployment.BadInput;
@@ -31,7 +32,7 @@
     private static final Span SILENCE = BEAT.times(2.5);
     private static final Span RETRY = BEAT.times(0.25);
 
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private final SocketConnector connector;
     private final Inbox inbox;
     private final Clock clock;
@@ -109,6 +110,25 @@
         next = deadlines.set(clock.now().plus(BEAT), () -> lost(mine, "no connection"));
     }
 
+    /** The bus is at another address from now on; its numbers go on there. */
+    void moved(InetSocketAddress to) {
+        if (!to.equals(address)) {
+            address = to;
+            leave();
+            connect();
+        }
+    }
+
+    /** Events told by other means: of these, each that follows what is known, or tells the whole list. */
+    void told(List<Roster> events) {
+        for (Roster event : events) {
+            if (event.offset() > last && (event.whole() || event.offset() == last + 1)) {
+                last = event.offset();
+                listener.accept(event);
+            }
+        }
+    }
+
     private void connected(long mine, ConnectFuture f) {
         if (!f.isConnected()) {
             lost(mine, "no connection");
@@ -131,6 +151,11 @@
             return;
         }
         LOG.log(Level.WARNING, "event bus: {0}; asking again from {1}", why, last);
+        leave();
+        next = deadlines.set(clock.now().plus(RETRY), this::connect);
+    }
+
+    private void leave() {
         life++;
         deadlines.cancel(next);
         if (future.isConnected()) {
@@ -138,7 +163,6 @@
         } else {
             future.cancel();
         }
-        next = deadlines.set(clock.now().plus(RETRY), this::connect);
     }
 
     // ---- lines
--- a/src/main/java/cobaltseam/service/Service.java
+++ b/src/main/java/cobaltseam/service/Service.java
@@ -6,6 +6,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
@@ -21,6 +22,7 @@
 import org.apache.mina.transport.socket.nio.NioSession;
 import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
+import sun.misc.Signal;
 
 /** One dispatcher on sockets: its start, the loop of the thread that owns all state, and its stop. */
 public final class Service {
@@ -30,10 +32,11 @@
     /** What was written last gets this long to go out. */
     private static final Span FLUSH_WITHIN = new Span(200_000);
     private static final Span LONGEST_WAIT = new Span(1_000_000);
+    private static final String HANG_UP = "HUP";
     private static final int BACKLOG = 1024;
     private static final int LARGEST_READ = 1 << 14;
 
-    private final Installation told;
+    private Installation told;
     private final Clock clock = new Clock();
     private final Deadlines deadlines = new Deadlines();
     private final Counters counters = new Counters();
@@ -46,6 +49,7 @@
     private final NioSocketAcceptor acceptor = new NioSocketAcceptor(threads, processor);
     private final NioSocketConnector toEngines = new NioSocketConnector(threads, processor);
     private final NioSocketConnector toBus = new NioSocketConnector(threads, processor);
+    private final Engines engines;
     private final Commands commands;
     private final Clients clients;
     private final EventBus bus;
@@ -53,7 +57,7 @@
 
     Service(Installation told) {
         this.told = told;
-        Engines engines = new Engines(told, toEngines, inbox, clock, deadlines, counters);
+        engines = new Engines(told, toEngines, inbox, clock, deadlines, counters);
         commands = new Commands(told.deployment(), told.seed(), engines, deadlines, clock, counters);
         clients = new Clients(told, commands, new SplittableRandom(~told.seed()), inbox, clock, deadlines,
                 counters);
@@ -71,6 +75,7 @@
         Installation told = Installation.read(System.getenv());
         Warmup.run(told);
         Service service = new Service(told);
+        service.readAnewOnHangUp(System.getenv());
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             service.stop();
             // Not by the log: it stops early when the process does.
@@ -129,6 +134,35 @@
         LOG.log(Level.INFO, "{0} serves on {1}", told.name(), address());
     }
 
+    /** SIGHUP: reads the configuration anew; one that can't be used changes nothing. */
+    void readAnewOnHangUp(Map<String, String> environment) {
+        Signal.handle(new Signal(HANG_UP), signal -> readAnew(environment));
+    }
+
+    /** One reading at a time, or an older one could overtake a newer. */
+    private synchronized void readAnew(Map<String, String> environment) {
+        try {
+            Installation anew = Installation.read(environment);
+            inbox.post(null, () -> renewed(anew));
+        } catch (RuntimeException e) {
+            inbox.post(null, () -> counters.add(Count.CONFIGURATIONS_UNUSABLE));
+            LOG.log(Level.ERROR, "the configuration stays as it was: {0}", e.getMessage());
+        }
+    }
+
+    private void renewed(Installation anew) {
+        if (!anew.name().equals(told.name()) || !anew.listen().equals(told.listen())
+                || !anew.deployment().equals(told.deployment())) {
+            LOG.log(Level.WARNING, "name, address and the settings of decisions stay until the next start");
+        }
+        counters.add(Count.CONFIGURATIONS_READ);
+        told = anew;
+        engines.renewed(anew);
+        bus.told(anew.known());
+        bus.moved(anew.bus());
+        LOG.log(Level.INFO, "{0} has read its configuration anew; the event bus is at {1}", told.name(), anew.bus());
+    }
+
     InetSocketAddress address() {
         return acceptor.getLocalAddress();
     }
--- a/src/test/java/cobaltseam/service/ServiceTest.java
+++ b/src/test/java/cobaltseam/service/ServiceTest.java
@@ -16,6 +16,8 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -32,6 +34,7 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import sun.misc.Signal;
 
 /** The service between clients, engines and a bus that these tests play themselves, on loopback. */
 class ServiceTest {
@@ -238,7 +241,12 @@
     }
 
     private static Installation told(String bus, int sockets, int idleMs, String... targets) throws IOException {
-        return Installation.of(Fields.of(new JsonFactory().createParser("""
+        return Installation.of(Fields.of(new JsonFactory().createParser(
+                configuration(bus, sockets, idleMs, targets))));
+    }
+
+    private static String configuration(String bus, int sockets, int idleMs, String... targets) {
+        return """
                 {"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"sockets":%d},"bus":"%s",
                 "known":{"offset":7,"batch":[%s]},"settings":{"balancers":1,"position":0,"tick_us":5000,
                 "classes":[{"name":"look","aim_us":500000,"hard_limit_us":3000000,"repeat":"read_like","late_value":0.5},
@@ -246,7 +254,7 @@
                 "machine_types":["m"],"family_info":{"cores_by_kind":[4]},"rules":{"cold_from":0.3},
                 "limits":{"most_tries":3,"cancel":true,"retry_after":true,"max_retry_after_us":500000,
                 "connect_timeout_us":250000,"conn_idle_us":%d,"streams_per_conn":32}}}
-                """.formatted(sockets, bus, event(7, true, targets), idleMs * 1000))));
+                """.formatted(sockets, bus, event(7, true, targets), idleMs * 1000);
     }
 
     private Peer start(Peer... engines) throws IOException {
@@ -339,6 +347,14 @@
         assertEquals(List.of("error 58"), client.told(), "this one may not run twice, nor be refused");
     }
 
+    /** Asks until a counter stands at this. */
+    private static void await(Client client, String counter) throws Exception {
+        for (int i = 0; !client.ask("SHOW cobaltseam.counters").contains(counter); i++) {
+            assertTrue(i < SOON_S * 100, counter + " never came");
+            Thread.sleep(10);
+        }
+    }
+
     /** The next word that comes to any of them. */
     private static Message poll(Peer... peers) throws InterruptedException {
         for (int i = 0; i < SOON_S * 1000; i++) {
@@ -553,6 +569,44 @@
         assertTrue(old.heard.isEmpty());
     }
 
+    /** The signal itself, with a file that can't be used first: neither may end the process. */
+    @Test
+    void hangUpMovesToTheBusOfTheNewConfigurationAndABadOneChangesNothing() throws Exception {
+        Peer engine = new Peer(true);
+        Peer old = start(engine);
+        old.next("from 7");
+        Path file = Files.createTempFile("configuration", ".json");
+        try {
+            service.readAnewOnHangUp(Map.of("GW_CONFIG", file.toString()));
+            String bad = configuration("127.0.0.1:80", SOCKETS, IDLE_MS).replace("\"limits\"", "\"limitless\"");
+            Client client = new Client();
+            int raised = 0;
+            for (String unusable : List.of("", "{", bad)) {
+                Files.writeString(file, unusable);
+                Signal.raise(new Signal("HUP"));
+                await(client, "configurations_unusable|" + ++raised);
+            }
+            Peer bus = new Peer(false);
+            Files.writeString(file, configuration(bus.address(), SOCKETS, IDLE_MS));
+            Signal.raise(new Signal("HUP"));
+            Message from = bus.next("from 7");
+            old.next("closed");
+            from.say(event(8, false, target(1, engine.address(), "in_service")) + "\n");
+            client.query(client.out, look(1, 3000));
+            Message pull = engine.next("PULL");
+            pull.answer(pull.id(), "200", "pages=1", ROWS);
+            assertEquals("SELECT 2", client.told().get(2));
+            Files.writeString(file, configuration(bus.address(), SOCKETS, IDLE_MS).replace("\"offset\":7", "\"offset\":9"));
+            Signal.raise(new Signal("HUP"));
+            await(client, "configurations_read|2");
+            from.reset();
+            bus.next("closed");
+            bus.next("from 9");
+        } finally {
+            Files.delete(file);
+        }
+    }
+
     @Test
     void toldToStopItServesOnUntilNothingIsOpen() throws Exception {
         Peer engine = new Peer(true);
