Idle clients give way at the bound of connections; silent ones are closed after 2 s

Ruled out: engines (as many sends in hand as usual, answers at usual speed) and memory (37 MB throughout). At fault: Clients.opened, which turned the newcomer away; START_WITHIN of 10 s, which left silent connections their slots; NioSocketAcceptor, which accepted without a bound and so could take the descriptors of the engines' connections (now Door).

--- a/src/main/java/cobaltseam/service/Clients.java
+++ b/src/main/java/cobaltseam/service/Clients.java
@@ -5,8 +5,10 @@
 import java.util.ArrayDeque;
 import java.util.Collections;
 import java.util.Deque;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
 import cobaltseam.dispatch.Moment;
@@ -33,7 +35,8 @@
     private static final int COLUMNS = 3;
     /** What is written last gets this long to be read before its connection is closed. */
     private static final Span CLOSE_WITHIN = new Span(1_000_000);
-    private static final Span START_WITHIN = new Span(10_000_000);
+    /** A client that has asked nothing whole by then holds a connection for nothing. */
+    private static final Span ASK_WITHIN = new Span(2_000_000);
     private static final String COUNTERS = "show cobaltseam.counters";
     private static final String INSERT = "insert";
     private static final int US_PER_MS = 1000;
@@ -45,7 +48,8 @@
         final Deque<Heard> waiting = new ArrayDeque<>();
         long key = Slots.NONE;
         int secret;
-        Deadlines.Deadline startWithin;
+        /** When it is closed, if nothing else comes before. */
+        Deadlines.Deadline closeAt;
         boolean started;
         boolean skipping;
         boolean busy;
@@ -84,7 +88,11 @@
     private final Counters counters;
     private final Commands commands;
     private final RandomGenerator secrets;
+    private final int most;
     private final Slots<Client> slots;
+    /** Clients with no statement open, the longest idle first: those that never asked, and the others. */
+    private final Set<Client> unasked = new LinkedHashSet<>();
+    private final Set<Client> resting = new LinkedHashSet<>();
 
     Clients(Installation told, Commands commands, RandomGenerator secrets, Inbox inbox, Clock clock,
             Deadlines deadlines, Counters counters) {
@@ -94,7 +102,13 @@
         this.clock = clock;
         this.deadlines = deadlines;
         this.counters = counters;
-        slots = new Slots<>(told.sockets() / 2);
+        most = mostClients(told);
+        slots = new Slots<>(most);
+    }
+
+    /** Half of the descriptors: a third is the usual clients', the rest of it may go to others. */
+    static int mostClients(Installation told) {
+        return told.sockets() / 2;
     }
 
     // ---- on the I/O thread: bytes to messages
@@ -117,7 +131,10 @@
     @Override
     public void sessionClosed(IoSession session) {
         Client client = (Client) session.getAttribute(CLIENT);
-        inbox.post(null, () -> closed(client));
+        inbox.post(null, () -> {
+            closed(client);
+            deadlines.cancel(client.closeAt);
+        });
     }
 
     @Override
@@ -128,6 +145,9 @@
     // ---- sessions
 
     private void opened(Client client) {
+        if (slots.size() >= most) {
+            makeRoom();
+        }
         client.key = slots.take(client);
         if (client.key == Slots.NONE) {
             counters.add(Count.CLIENTS_TURNED_AWAY);
@@ -137,20 +157,54 @@
         }
         counters.add(Count.CLIENTS_OPENED);
         client.secret = secrets.nextInt();
-        client.startWithin = deadlines.set(clock.now().plus(START_WITHIN), client.session::closeNow);
+        unasked.add(client);
+        client.closeAt = deadlines.set(clock.now().plus(ASK_WITHIN), client.session::closeNow);
+    }
+
+    /**
+     * Closes the longest idle connection, without a word that could be taken for the answer to a statement
+     * on its way. Those that never asked go first while they hold more than half.
+     */
+    private void makeRoom() {
+        Set<Client> from = resting.isEmpty() || unasked.size() > most / 2 ? unasked : resting;
+        if (!from.isEmpty()) {
+            Client longest = from.iterator().next();
+            counters.add(Count.CLIENTS_GAVE_WAY);
+            longest.session.closeNow();
+            closed(longest);
+        }
     }
 
     private void closed(Client client) {
         if (slots.get(client.key) == client) {
             counters.add(Count.CLIENTS_CLOSED);
-            deadlines.cancel(client.startWithin);
+            deadlines.cancel(client.closeAt);
             slots.free(client.key);
+            unasked.remove(client);
+            resting.remove(client);
             client.waiting.clear();
             commands.departed(client.command);
             client.command = Slots.NONE;
         }
     }
 
+    /** A statement has come whole: what was owed to show that this is a client at all. */
+    private void asked(Client client) {
+        if (unasked.remove(client)) {
+            deadlines.cancel(client.closeAt);
+            resting.add(client);
+        }
+    }
+
+    private void busy(Client client, boolean busy) {
+        client.busy = busy;
+        if (busy) {
+            resting.remove(client);
+        } else if (slots.get(client.key) == client) {
+            resting.add(client);
+        }
+    }
+
     private void heard(Client client, Heard heard) {
         if (slots.get(client.key) != client) {
             return;
@@ -172,7 +226,6 @@
         ClientMessage message = heard.message();
         if (message instanceof ClientMessage.Startup) {
             client.started = true;
-            deadlines.cancel(client.startWithin);
             write(client, new Replies().welcome((int) client.key, client.secret));
         } else if (message instanceof ClientMessage.EncryptionRequest) {
             client.session.write(IoBuffer.wrap(new byte[] {'N'}));
@@ -181,6 +234,7 @@
             client.session.closeNow();
         } else if (message instanceof ClientMessage.Query query) {
             client.skipping = false;
+            asked(client);
             query(client, query.text(), heard.read());
         } else if (message instanceof ClientMessage.Terminate) {
             client.session.closeNow();
@@ -203,13 +257,13 @@
         LOG.log(Level.WARNING, "client {0} closed: {1}", client.session.getRemoteAddress(), what);
         write(client, new Replies().error("FATAL", Replies.BAD_PROTOCOL, what));
         close(client);
-        closed(client);
     }
 
     /** Closes a connection once what was written is out, or soon. */
     private void close(Client client) {
+        closed(client);
         client.session.closeOnFlush();
-        deadlines.set(clock.now().plus(CLOSE_WITHIN), client.session::closeNow);
+        client.closeAt = deadlines.set(clock.now().plus(CLOSE_WITHIN), client.session::closeNow);
     }
 
     /** Nothing more is owed for the statement of the session that this names. */
@@ -218,7 +272,7 @@
             if ((int) c.key == cancel.session() && c.secret == cancel.secret() && c.started) {
                 long command = c.command;
                 c.command = Slots.NONE;
-                c.busy = false;
+                busy(c, false);
                 commands.departed(command);
                 takeWaiting(c);
             }
@@ -252,7 +306,7 @@
         if (key == Slots.NONE) {
             unusable(client, "an unknown profile, or a call that is in hand already");
         } else {
-            client.busy = true;
+            busy(client, true);
             client.text = statement.text();
             client.command = key;
             commands.start(key, read);
@@ -291,7 +345,7 @@
 
     /** The one answer to the statement that this client has open; then what waits behind it. */
     private void finish(Client client, Replies replies) {
-        client.busy = false;
+        busy(client, false);
         client.command = Slots.NONE;
         client.text = null;
         write(client, replies.ready());
--- a/src/main/java/cobaltseam/service/Service.java
+++ b/src/main/java/cobaltseam/service/Service.java
@@ -20,7 +20,6 @@
 import org.apache.mina.transport.socket.SocketSessionConfig;
 import org.apache.mina.transport.socket.nio.NioProcessor;
 import org.apache.mina.transport.socket.nio.NioSession;
-import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
 import sun.misc.Signal;
 
@@ -46,7 +45,7 @@
     /** One for both sides: the process has one core. */
     private final IoProcessor<NioSession> processor =
             new SimpleIoProcessorPool<>(NioProcessor.class, threads, 1, null);
-    private final NioSocketAcceptor acceptor = new NioSocketAcceptor(threads, processor);
+    private final Door acceptor;
     private final NioSocketConnector toEngines = new NioSocketConnector(threads, processor);
     private final NioSocketConnector toBus = new NioSocketConnector(threads, processor);
     private final Engines engines;
@@ -62,6 +61,7 @@
         clients = new Clients(told, commands, new SplittableRandom(~told.seed()), inbox, clock, deadlines,
                 counters);
         bus = new EventBus(told, toBus, inbox, clock, deadlines, counters, commands::listed);
+        acceptor = new Door(threads, processor, Clients.mostClients(told));
         tune(toEngines.getSessionConfig());
         tune(toBus.getSessionConfig());
         tune(acceptor.getSessionConfig());
--- a/src/test/java/cobaltseam/service/ServiceTest.java
+++ b/src/test/java/cobaltseam/service/ServiceTest.java
@@ -519,6 +519,53 @@
         assertTrue(engine.heard.isEmpty());
     }
 
+    /** Far more than there is room for, kept open by their clients: those that are served never wait for them. */
+    @Test
+    void connectionsThatStayGiveWayToThoseThatAsk() throws Exception {
+        Peer engine = new Peer(true);
+        start(16, IDLE_MS, engine);
+        Client open = new Client(look(1, 10_000));
+        Message first = engine.next("PULL");
+        List<Client> stayed = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            Client client = new Client(look(100 + i, 3000));
+            Message pull = engine.next("PULL");
+            pull.answer(pull.id(), "200", "pages=1", ROWS);
+            assertEquals("SELECT 2", client.told().get(2));
+            stayed.add(client);
+        }
+        assertTrue(stayed.get(0).in.read() < 0, "the longest idle has given way");
+        assertEquals(List.of("empty"), stayed.get(39).ask(""));
+        first.answer(first.id(), "200", "pages=1", ROWS);
+        assertEquals("SELECT 2", open.told().get(2), "not one with an open statement");
+    }
+
+    @Test
+    void connectionsThatSayNothingGiveWayAndAreClosedSoon() throws Exception {
+        Peer engine = new Peer(true);
+        start(16, IDLE_MS, engine);
+        List<Socket> silent = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            silent.add(new Socket(service.address().getAddress(), service.address().getPort()));
+            silent.get(i).setSoTimeout(SOON_S * 1000);
+            if (i % 2 == 0) {
+                silent.get(i).getOutputStream().write(new byte[] {0, 0, 0, 9, 0, 3, 0, 0});
+            }
+        }
+        Client client = new Client(look(1, 3000));
+        Message pull = engine.next("PULL");
+        pull.answer(pull.id(), "200", "pages=1", ROWS);
+        assertEquals("SELECT 2", client.told().get(2));
+        for (Socket each : silent) {
+            try {
+                assertTrue(each.getInputStream().read() < 0);
+            } catch (SocketException e) {
+                // A reset is a close, too.
+            }
+            each.close();
+        }
+    }
+
     @Test
     void aCancelledOrLeftCommandGetsNoAnswer() throws Exception {
         Peer engine = new Peer(true);
