Bounds on the log and on what each peer may have waiting; bad statements rest

At fault: LOG.log for every bad statement; Clients.unusable, which took the next at once; Engines.firstPage and page, which took a second copy for a spoilt result; Engines.spoiled, which kept a connection that brings nothing more; Inbox.post, which stopped the I/O thread.

--- a/src/main/java/cobaltseam/postgres/ClientParser.java
+++ b/src/main/java/cobaltseam/postgres/ClientParser.java
@@ -21,6 +21,24 @@
     private boolean started;
     private boolean broken;
 
+    /** The bytes that it holds of messages not yet whole. */
+    public int held() {
+        return held.length;
+    }
+
+    public boolean isBroken() {
+        return broken;
+    }
+
+    /** Takes nothing more, and says why. */
+    public void refuse(String reason, Consumer<ClientMessage> messages) {
+        if (!broken) {
+            malformed(reason, messages);
+            length = 0;
+            held = new byte[0];
+        }
+    }
+
     /** Takes what has come and hands on each message that is whole. */
     public void take(ByteBuffer in, Consumer<ClientMessage> messages) {
         while (in.hasRemaining() && !broken) {
@@ -37,8 +55,9 @@
             System.arraycopy(held, from, held, 0, length - from);
             length -= from;
         }
-        if (length == 0 && held.length > FIRST_ROOM) {
-            held = new byte[FIRST_ROOM];
+        if (broken || length == 0 && held.length > FIRST_ROOM) {
+            held = new byte[broken ? 0 : FIRST_ROOM];
+            length = 0;
         }
     }
 
--- a/src/main/java/cobaltseam/resp/RespParser.java
+++ b/src/main/java/cobaltseam/resp/RespParser.java
@@ -10,12 +10,14 @@
 /** Takes RESP arrays of bulk strings from bytes in any pieces. */
 public final class RespParser {
     private static final int MOST_ITEMS = 16;
-    private static final int LONGEST_ITEM = 1 << 16;
+    private static final int LONGEST_ARRAY = 1 << 16;
     private static final int LONGEST_LINE = 16;
 
     private final ByteArrayOutputStream line = new ByteArrayOutputStream(LONGEST_LINE);
     private List<byte[]> items = new ArrayList<>();
     private int awaited;
+    /** Bytes that the items of this array may still have. */
+    private int room;
     private byte[] item;
     private int filled;
     private String broken;
@@ -42,7 +44,7 @@
     /** A line that tells the items of an array or the bytes of an item. */
     private void head(byte[] told) {
         char type = awaited == 0 ? '*' : '$';
-        int most = awaited == 0 ? MOST_ITEMS : LONGEST_ITEM;
+        int most = awaited == 0 ? MOST_ITEMS : room;
         int number = 0;
         boolean good = told.length > 2 && told[0] == type && told[told.length - 1] == '\r';
         for (int i = 1; good && i < told.length - 1; i++) {
@@ -53,7 +55,9 @@
             broken = "not the head of an " + (awaited == 0 ? "array" : "item");
         } else if (awaited == 0) {
             awaited = number;
+            room = LONGEST_ARRAY;
         } else {
+            room -= number;
             item = new byte[number + 2];
             filled = 0;
         }
--- a/src/main/java/cobaltseam/resp/Result.java
+++ b/src/main/java/cobaltseam/resp/Result.java
@@ -25,6 +25,11 @@
         return pages >= 1 && pages <= MOST_PAGES;
     }
 
+    /** Whether this page has come already. */
+    public boolean has(int page) {
+        return page >= 0 && page < pages.length && pages[page] != null;
+    }
+
     /** Takes a page in; tells what is wrong with it, or null. */
     public String add(int page, byte[] body) {
         if (page < 0 || page >= pages.length || pages[page] != null) {
--- a/src/main/java/cobaltseam/service/Clients.java
+++ b/src/main/java/cobaltseam/service/Clients.java
@@ -1,6 +1,5 @@
 package cobaltseam.service;
 
-import java.lang.System.Logger.Level;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Collections;
@@ -9,6 +8,8 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.random.RandomGenerator;
 
 import cobaltseam.dispatch.Moment;
@@ -26,12 +27,17 @@
 
 /** The clients' connections: their sessions, statements and answers. */
 final class Clients extends IoHandlerAdapter {
-    private static final System.Logger LOG = System.getLogger(Clients.class.getName());
     private static final String CLIENT = "client";
     /** Messages that may wait behind a statement, one of them a statement; bytes that may wait to be read. */
     private static final int MOST_WAITING = 32;
     private static final int MOST_UNREAD = 1 << 16;
     private static final int MOST_UNREAD_ALL = 1 << 23;
+    /** All clients' messages may take this part of the memory; a client that holds little is never at fault. */
+    private static final int HELD_PART = 32;
+    private static final int LITTLE = 4096;
+    /** A client rests after a statement that can't be used, twice as long after each in a row. */
+    private static final Span REST = new Span(50_000);
+    private static final int MOST_DOUBLED = 4;
     private static final int COLUMNS = 3;
     /** What is written last gets this long to be read before its connection is closed. */
     private static final Span CLOSE_WITHIN = new Span(1_000_000);
@@ -46,15 +52,26 @@
         final IoSession session;
         final ClientParser parser = new ClientParser();
         final Deque<Heard> waiting = new ArrayDeque<>();
+        /** Messages handed over and not yet heard. */
+        final AtomicInteger unheard = new AtomicInteger();
+        /** What its parser holds; and whether it has sent more at once than is handed over. */
+        int parsing;
+        boolean flooding;
         long key = Slots.NONE;
         int secret;
         /** When it is closed, if nothing else comes before. */
         Deadlines.Deadline closeAt;
         boolean started;
         boolean skipping;
+        /** Whether something is to be done before the next message: a statement, or a rest after a bad one. */
         boolean busy;
         long command = Slots.NONE;
         byte[] text;
+        /** Bytes of the message that is being answered. */
+        int holding;
+        /** Statements in a row that could not be used. */
+        int unusable;
+        Deadlines.Deadline rest;
 
         Client(IoSession session) {
             this.session = session;
@@ -80,15 +97,22 @@
 
     /** One message, and when its last byte was read. */
     private record Heard(ClientMessage message, Moment read) {
+        int size() {
+            return message instanceof ClientMessage.Query query ? query.text().length : 0;
+        }
     }
 
     private final Inbox inbox;
     private final Clock clock;
     private final Deadlines deadlines;
     private final Counters counters;
+    private final BoundedLog log;
     private final Commands commands;
     private final RandomGenerator secrets;
     private final int most;
+    /** Bytes of clients' messages, whole or not, until they are done with; and their bound. */
+    private final AtomicLong held = new AtomicLong();
+    private final long mostHeld;
     private final Slots<Client> slots;
     /** Clients with no statement open, the longest idle first: those that never asked, and the others. */
     private final Set<Client> unasked = new LinkedHashSet<>();
@@ -102,7 +126,9 @@
         this.clock = clock;
         this.deadlines = deadlines;
         this.counters = counters;
+        log = new BoundedLog(System.getLogger(Clients.class.getName()), clock);
         most = mostClients(told);
+        mostHeld = told.memoryBytes() / HELD_PART;
         slots = new Slots<>(most);
     }
 
@@ -124,13 +150,48 @@
     public void messageReceived(IoSession session, Object message) {
         Client client = (Client) session.getAttribute(CLIENT);
         Moment read = clock.now();
-        client.parser.take(((IoBuffer) message).buf(),
-                m -> inbox.post(session, () -> heard(client, new Heard(m, read))));
+        client.parser.take(((IoBuffer) message).buf(), m -> handOver(client, m, read));
+        holds(client, client.parser.held());
+        if (client.flooding) {
+            refuse(client, "too many messages at once", read);
+        } else if (held.get() > mostHeld && client.parser.held() > LITTLE) {
+            refuse(client, "too much is held for all clients", read);
+        }
+        if (client.parser.isBroken()) {
+            session.suspendRead();
+        }
+    }
+
+    /** Hands over no more than may wait behind a statement: beyond that it is no client's way. */
+    private void handOver(Client client, ClientMessage message, Moment read) {
+        client.flooding |= client.unheard.incrementAndGet() > MOST_WAITING;
+        if (client.flooding && !(message instanceof ClientMessage.Malformed)) {
+            client.unheard.decrementAndGet();
+            return;
+        }
+        Heard heard = new Heard(message, read);
+        held.addAndGet(heard.size());
+        inbox.post(client.session, () -> {
+            client.unheard.decrementAndGet();
+            heard(client, heard);
+        });
+    }
+
+    /** Takes nothing more from a client: its connection is closed once this is heard. */
+    private void refuse(Client client, String reason, Moment read) {
+        client.parser.refuse(reason, m -> handOver(client, m, read));
+        holds(client, client.parser.held());
+    }
+
+    private void holds(Client client, int bytes) {
+        held.addAndGet(bytes - client.parsing);
+        client.parsing = bytes;
     }
 
     @Override
     public void sessionClosed(IoSession session) {
         Client client = (Client) session.getAttribute(CLIENT);
+        holds(client, 0);
         inbox.post(null, () -> {
             closed(client);
             deadlines.cancel(client.closeAt);
@@ -182,12 +243,26 @@
             slots.free(client.key);
             unasked.remove(client);
             resting.remove(client);
+            deadlines.cancel(client.rest);
+            client.waiting.forEach(this::done);
             client.waiting.clear();
             commands.departed(client.command);
             client.command = Slots.NONE;
+            answered(client);
         }
     }
 
+    /** The bytes of a message are no longer needed. */
+    private void done(Heard heard) {
+        held.addAndGet(-heard.size());
+    }
+
+    /** Nothing is owed for the message that was taken last. */
+    private void answered(Client client) {
+        held.addAndGet(-client.holding);
+        client.holding = 0;
+    }
+
     /** A statement has come whole: what was owed to show that this is a client at all. */
     private void asked(Client client) {
         if (unasked.remove(client)) {
@@ -207,9 +282,8 @@
 
     private void heard(Client client, Heard heard) {
         if (slots.get(client.key) != client) {
-            return;
-        }
-        if (!client.busy) {
+            done(heard);
+        } else if (!client.busy) {
             take(client, heard);
         } else if (heard.message() instanceof ClientMessage.Terminate) {
             client.session.closeNow();
@@ -218,6 +292,7 @@
                         .anyMatch(h -> h.message() instanceof ClientMessage.Query))) {
             client.waiting.addLast(heard);
         } else {
+            done(heard);
             protocolError(client, "too many messages behind a statement");
         }
     }
@@ -235,7 +310,11 @@
         } else if (message instanceof ClientMessage.Query query) {
             client.skipping = false;
             asked(client);
+            client.holding = heard.size();
             query(client, query.text(), heard.read());
+            if (client.command == Slots.NONE) {
+                answered(client);
+            }
         } else if (message instanceof ClientMessage.Terminate) {
             client.session.closeNow();
         } else if (message instanceof ClientMessage.Sync) {
@@ -254,7 +333,7 @@
 
     private void protocolError(Client client, String what) {
         counters.add(Count.CLIENT_PROTOCOL_ERRORS);
-        LOG.log(Level.WARNING, "client {0} closed: {1}", client.session.getRemoteAddress(), what);
+        log.warn("client {0} closed: {1}", client.session.getRemoteAddress(), what);
         write(client, new Replies().error("FATAL", Replies.BAD_PROTOCOL, what));
         close(client);
     }
@@ -269,10 +348,11 @@
     /** Nothing more is owed for the statement of the session that this names. */
     private void cancel(ClientMessage.Cancel cancel) {
         slots.forEach(c -> {
-            if ((int) c.key == cancel.session() && c.secret == cancel.secret() && c.started) {
+            if ((int) c.key == cancel.session() && c.secret == cancel.secret() && c.command != Slots.NONE) {
                 long command = c.command;
                 c.command = Slots.NONE;
                 busy(c, false);
+                answered(c);
                 commands.departed(command);
                 takeWaiting(c);
             }
@@ -302,10 +382,12 @@
             unusable(client, e.getMessage());
             return;
         }
-        long key = commands.take(statement, client);
+        String why = commands.unusable(statement);
+        long key = why == null ? commands.take(statement, client) : Slots.NONE;
         if (key == Slots.NONE) {
-            unusable(client, "an unknown profile, or a call that is in hand already");
+            unusable(client, why == null ? "too many commands in hand" : why);
         } else {
+            client.unusable = 0;
             busy(client, true);
             client.text = statement.text();
             client.command = key;
@@ -323,8 +405,18 @@
 
     private void unusable(Client client, String why) {
         counters.add(Count.STATEMENTS_UNUSABLE);
-        LOG.log(Level.WARNING, "client {0}: {1}", client.session.getRemoteAddress(), why);
+        log.warn("client {0}: {1}", client.session.getRemoteAddress(), why);
         write(client, new Replies().error("ERROR", Replies.BAD_STATEMENT, why).ready());
+        // One that sends the next at once, whatever it is told, would else take all there is of a processor.
+        int before = client.unusable++;
+        if (before > 0 && slots.get(client.key) == client) {
+            client.busy = true;
+            Span rest = REST.times(1 << Math.min(before - 1, MOST_DOUBLED));
+            client.rest = deadlines.set(clock.now().plus(rest), () -> {
+                client.busy = false;
+                takeWaiting(client);
+            });
+        }
     }
 
     private static Replies rows(Result result, byte[] statement) {
@@ -348,6 +440,7 @@
         busy(client, false);
         client.command = Slots.NONE;
         client.text = null;
+        answered(client);
         write(client, replies.ready());
         takeWaiting(client);
     }
@@ -362,7 +455,7 @@
         long unread = client.session.getScheduledWriteBytes();
         boolean all = client.session.getService().getScheduledWriteBytes() > MOST_UNREAD_ALL;
         if (unread > MOST_UNREAD || unread > 0 && all) {
-            LOG.log(Level.WARNING, "client {0} closed: it does not read", client.session.getRemoteAddress());
+            log.warn("client {0} closed: it does not read", client.session.getRemoteAddress());
             client.session.closeNow();
             closed(client);
             return;
--- a/src/main/java/cobaltseam/service/Commands.java
+++ b/src/main/java/cobaltseam/service/Commands.java
@@ -86,18 +86,23 @@
         follow();
     }
 
-    /**
-     * Takes a command in. Its key, or NONE with nothing taken, where the profile is unknown or the call is
-     * one already in hand. Nothing is decided before {@link #start}.
-     */
+    /** Why a statement can't be taken in as a command, or null. */
+    String unusable(Statement s) {
+        if (!profiles.contains(s.profile())) {
+            return "an unknown profile";
+        }
+        if (s.share() != null && !shares.isEmpty() && !shares.contains(s.share())) {
+            return "an unknown holder of a share";
+        }
+        return byId.containsKey(new CommandId(s.call())) ? "a call that is in hand already" : null;
+    }
+
+    /** Takes in a command that can be used. Its key, or NONE where none is free. It awaits {@link #start}. */
     long take(Statement s, Asker asker) {
         InHand c = new InHand();
         c.id = new CommandId(s.call());
         c.statement = s;
         c.asker = asker;
-        if (!profiles.contains(s.profile()) || byId.containsKey(c.id)) {
-            return Slots.NONE;
-        }
         c.key = slots.take(c);
         if (c.key != Slots.NONE) {
             counters.add(Count.COMMANDS_TAKEN);
--- a/src/main/java/cobaltseam/service/Engines.java
+++ b/src/main/java/cobaltseam/service/Engines.java
@@ -1,12 +1,12 @@
 package cobaltseam.service;
 
-import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import cobaltseam.deployment.DeploymentReader;
 import cobaltseam.dispatch.CommandId;
@@ -36,9 +36,11 @@
         void ended(Send send, Ending ending, Moment now);
     }
 
-    private static final System.Logger LOG = System.getLogger(Engines.class.getName());
     private static final String PARSER = "parser";
     private static final String CONNECTION = "connection";
+    private static final String UNHEARD = "unheard";
+    /** Bytes of one connection that may wait to be heard: some results for each of many sends. */
+    private static final int MOST_UNHEARD = 1 << 21;
     /** A connection idle for more than this part of the time after which engines close it is not used. */
     private static final double IDLE_USED = 0.9;
 
@@ -54,6 +56,7 @@
     private final Clock clock;
     private final Deadlines deadlines;
     private final Counters counters;
+    private final BoundedLog log;
     private Span connectTimeout;
     private Span idle;
     private int sendsPerConnection;
@@ -68,6 +71,7 @@
         this.clock = clock;
         this.deadlines = deadlines;
         this.counters = counters;
+        log = new BoundedLog(System.getLogger(Engines.class.getName()), clock);
         renewed(told);
         connections = new Slots<>(told.sockets() / 3);
         connector.setHandler(new Wire());
@@ -90,15 +94,25 @@
         @Override
         public void sessionCreated(IoSession session) {
             session.setAttribute(PARSER, new RespParser());
+            session.setAttribute(UNHEARD, new AtomicInteger());
         }
 
         @Override
         public void messageReceived(IoSession session, Object message) {
             List<EngineAnswer> answers = new ArrayList<>();
             RespParser parser = (RespParser) session.getAttribute(PARSER);
-            String wrong = parser.take(((IoBuffer) message).buf(),
+            AtomicInteger unheard = (AtomicInteger) session.getAttribute(UNHEARD);
+            int bytes = ((IoBuffer) message).remaining();
+            boolean tooMuch = unheard.addAndGet(bytes) > MOST_UNHEARD;
+            String wrong = tooMuch ? "more than is asked for" : parser.take(((IoBuffer) message).buf(),
                     items -> answers.add(EngineAnswer.of(items)));
-            inbox.post(session, () -> answered(connection(session), answers, wrong));
+            if (wrong != null) {
+                session.closeNow();
+            }
+            inbox.post(session, () -> {
+                unheard.addAndGet(-bytes);
+                answered(connection(session), answers, wrong);
+            });
         }
 
         @Override
@@ -348,7 +362,7 @@
 
     private void protocolError(EngineConnection c, String what) {
         counters.add(Count.ENGINE_PROTOCOL_ERRORS);
-        LOG.log(Level.WARNING, "engine {0} closed: {1}", Long.toHexString(c.engine.value()), what);
+        log.warn("engine {0} closed: {1}", Long.toHexString(c.engine.value()), what);
         drop(c);
     }
 
@@ -380,7 +394,7 @@
     private void late(EngineConnection c, EngineAnswer answer) {
         if (!c.remembers(answer.id())) {
             counters.add(Count.UNKNOWN_ANSWERS);
-            LOG.log(Level.WARNING, "engine {0}: an answer for unknown id {1}",
+            log.warn("engine {0}: an answer for unknown id {1}",
                     Long.toHexString(c.engine.value()), answer.id());
             return;
         }
@@ -391,8 +405,12 @@
     }
 
     private void firstPage(EngineConnection c, Send send, EngineAnswer answer) {
+        if (send.result != null) {
+            counters.add(Count.SECOND_COPIES);
+            return;
+        }
         int pages = answer.whole("pages");
-        if (send.result != null || !Result.canHave(pages)) {
+        if (!Result.canHave(pages)) {
             spoiled(c, send, "a result of " + pages + " pages");
             return;
         }
@@ -405,6 +423,10 @@
     }
 
     private void page(EngineConnection c, Send send, int number, byte[] body) {
+        if (send.result != null && send.result.has(number)) {
+            counters.add(Count.SECOND_COPIES);
+            return;
+        }
         String wrong = send.result == null ? "a page before the first" : send.result.add(number, body);
         if (wrong != null) {
             spoiled(c, send, wrong);
@@ -413,12 +435,12 @@
         }
     }
 
-    /** A result that can't be passed on counts as the engine's error. */
+    /** What can't be passed on counts as the engine's error; a connection that brought it is of no more use. */
     private void spoiled(EngineConnection c, Send send, String why) {
         counters.add(Count.ENGINE_PROTOCOL_ERRORS);
-        LOG.log(Level.WARNING, "engine {0}: {1}", Long.toHexString(send.engine.value()), why);
-        c.remember(send.call());
-        c.write(EngineCommands.discard(send.call()));
+        log.warn("engine {0}: {1}", Long.toHexString(send.engine.value()), why);
+        c.sends.remove(send.call());
+        drop(c);
         end(send, Ending.ERROR);
     }
 }
--- a/src/main/java/cobaltseam/service/EventBus.java
+++ b/src/main/java/cobaltseam/service/EventBus.java
@@ -2,10 +2,10 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
 import cobaltseam.deployment.BadInput;
@@ -23,9 +23,9 @@
 
 /** Follows the event bus from the last event known, over as many connections as that takes. */
 final class EventBus {
-    private static final System.Logger LOG = System.getLogger(EventBus.class.getName());
     private static final String LIFE = "life";
     private static final String LINE = "line";
+    private static final String UNHEARD = "unheard";
     private static final int LONGEST_LINE = 1 << 20;
     /** The bus writes at least this often. */
     private static final Span BEAT = new Span(1_000_000);
@@ -38,6 +38,7 @@
     private final Clock clock;
     private final Deadlines deadlines;
     private final Counters counters;
+    private final BoundedLog log;
     private final Consumer<Roster> listener;
     private final JsonFactory json = new JsonFactory();
     private long last;
@@ -56,6 +57,7 @@
         this.clock = clock;
         this.deadlines = deadlines;
         this.counters = counters;
+        log = new BoundedLog(System.getLogger(EventBus.class.getName()), clock);
         this.listener = listener;
         connector.setHandler(new Wire());
     }
@@ -66,12 +68,14 @@
         @Override
         public void sessionCreated(IoSession session) {
             session.setAttribute(LINE, new ByteArrayOutputStream());
+            session.setAttribute(UNHEARD, new AtomicInteger());
         }
 
         @Override
         public void messageReceived(IoSession session, Object message) {
             ByteArrayOutputStream line = (ByteArrayOutputStream) session.getAttribute(LINE);
             long from = (Long) session.getAttribute(LIFE);
+            AtomicInteger unheard = (AtomicInteger) session.getAttribute(UNHEARD);
             IoBuffer in = (IoBuffer) message;
             while (in.hasRemaining()) {
                 byte b = in.get();
@@ -84,7 +88,15 @@
                 } else {
                     String text = line.toString(StandardCharsets.UTF_8).strip();
                     line.reset();
-                    inbox.post(session, () -> said(from, text));
+                    int size = text.length() + 1;
+                    if (unheard.addAndGet(size) > 2 * LONGEST_LINE) {
+                        session.closeNow();
+                        return;
+                    }
+                    inbox.post(session, () -> {
+                        unheard.addAndGet(-size);
+                        said(from, text);
+                    });
                 }
             }
         }
@@ -150,7 +162,7 @@
         if (mine != life) {
             return;
         }
-        LOG.log(Level.WARNING, "event bus: {0}; asking again from {1}", why, last);
+        log.warn("event bus: {0}; asking again from {1}", why, last);
         leave();
         next = deadlines.set(clock.now().plus(RETRY), this::connect);
     }
@@ -179,7 +191,7 @@
                 event(mine, line);
             }
         } catch (IOException | BadInput e) {
-            LOG.log(Level.WARNING, "event bus: a line can''t be used: {0}", e.getMessage());
+            log.warn("event bus: a line can''t be used: {0}", e.getMessage());
         }
     }
 
--- a/src/main/java/cobaltseam/service/Inbox.java
+++ b/src/main/java/cobaltseam/service/Inbox.java
@@ -1,20 +1,22 @@
 package cobaltseam.service;
 
 import java.lang.System.Logger.Level;
-import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
 import cobaltseam.dispatch.Span;
 import cobaltseam.service.Counters.Count;
 import org.apache.mina.core.session.IoSession;
 
-/** What other threads hand over to the one that owns all state; a full inbox holds them up. */
+/**
+ * What other threads hand over to the one that owns all state. It never holds them up: a flood from one peer
+ * would else stop what comes from all others. Who hands over bounds what each peer may have in here.
+ */
 final class Inbox {
     private static final System.Logger LOG = System.getLogger(Inbox.class.getName());
-    private static final int ROOM = 4096;
 
-    private final BlockingQueue<Runnable> tasks = new ArrayBlockingQueue<>(ROOM);
+    private final BlockingQueue<Runnable> tasks = new LinkedBlockingQueue<>();
     private final Counters counters;
 
     Inbox(Counters counters) {
@@ -23,21 +25,17 @@
 
     /** Hands a task over; what it throws ends no more than this connection. */
     void post(IoSession connection, Runnable task) {
-        try {
-            tasks.put(() -> {
-                try {
-                    task.run();
-                } catch (RuntimeException e) {
-                    counters.add(Count.FAULTS);
-                    LOG.log(Level.ERROR, "connection closed by a fault", e);
-                    if (connection != null) {
-                        connection.closeNow();
-                    }
+        tasks.add(() -> {
+            try {
+                task.run();
+            } catch (RuntimeException e) {
+                counters.add(Count.FAULTS);
+                LOG.log(Level.ERROR, "connection closed by a fault", e);
+                if (connection != null) {
+                    connection.closeNow();
                 }
-            });
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+            }
+        });
     }
 
     /** The next task, or null if none comes within this span. */
--- a/src/main/java/cobaltseam/service/Installation.java
+++ b/src/main/java/cobaltseam/service/Installation.java
@@ -18,9 +18,11 @@
 
 /** What the service is told by its configuration file: where it stands, and the deployment around it. */
 record Installation(String name, InetSocketAddress listen, InetSocketAddress bus, long seed, int sockets,
-                    long knownOffset, List<Roster> known, Deployment deployment, Span connectTimeout,
+                    long memoryBytes, long knownOffset, List<Roster> known, Deployment deployment, Span connectTimeout,
                     Span connectionIdle, int sendsPerConnection) {
     private static final int HEX = 16;
+    /** What a process has at least, where nothing is told. */
+    private static final long LEAST_MEMORY_MB = 32;
     private static final int LAST_PORT = 65_535;
 
     /** Reads the file that the environment names; what it also names must agree. */
@@ -66,6 +68,7 @@
         return new Installation(told.text("name"), address(told.text("listen")), address(told.text("bus")),
                 Long.parseUnsignedLong(seed, HEX),
                 (int) told.object("limits").whole("sockets"),
+                told.object("limits").whole("memory_mb", LEAST_MEMORY_MB) << 20,
                 known.whole("offset"), rosters, DeploymentReader.read(settings),
                 new Span(limits.whole("connect_timeout_us")),
                 new Span(limits.whole("conn_idle_us", 0)),
@@ -73,7 +76,7 @@
     }
 
     Installation listeningOn(InetSocketAddress other) {
-        return new Installation(name, other, bus, seed, sockets, knownOffset, known, deployment, connectTimeout,
+        return new Installation(name, other, bus, seed, sockets, memoryBytes, knownOffset, known, deployment, connectTimeout,
                 connectionIdle, sendsPerConnection);
     }
 
