Warm-up plays the whole path on sockets; what has come is heard before deadlines act

A trace of the module showed every engine with failures of 0.97 and no load report a second after readiness: all sends were called off, unanswered. Processor time by thread stood at the limit meanwhile, most of it the compiler and interpreted code of the service and MINA, which the warm-up never ran. Each call-off closed a connection and needed a new one: more of the same work. Ruled out: the engines (quick from 3 s on) and the steady state (0.2 of a core at 360 commands a second). At fault: Warmup, which asked the module alone; Service.loop, which ran deadlines after each task, and Commands.follow, which decided after each, while answers lay in the inbox.

--- a/src/main/java/cobaltseam/service/Commands.java
+++ b/src/main/java/cobaltseam/service/Commands.java
@@ -61,6 +61,8 @@
     private final Slots<InHand> slots = new Slots<>(MOST_OPEN);
     private final Map<CommandId, InHand> byId = new HashMap<>();
     private Deadlines.Deadline wake;
+    /** Whether the module was told something and not yet asked what follows. */
+    private boolean news;
 
     Commands(Deployment deployment, long seed, Engines engines, Deadlines deadlines, Clock clock,
              Counters counters) {
@@ -83,7 +85,7 @@
         engines.listed(roster);
         Moment now = clock.now();
         dispatcher.listed(roster.list(), roster.whole(), now);
-        follow();
+        news = true;
     }
 
     /** Why a statement can't be taken in as a command, or null. */
@@ -121,7 +123,7 @@
                 new Span(Math.round(s.workMs() * US_PER_MS)),
                 s.dataSet() < 0 ? null : new DataSetId(s.dataSet()), s.memoryMb());
         carryOut(c, () -> dispatcher.place(command, clock.now()));
-        follow();
+        news = true;
     }
 
     /** Nobody waits for this command any more. */
@@ -138,14 +140,14 @@
         } else {
             forget(c);
         }
-        follow();
+        news = true;
     }
 
     @Override
     public void progressed(Send send, double share, Moment now) {
         if (share >= 0) {
             dispatcher.progressed(send.command, send.number, share, now);
-            follow();
+            news = true;
         }
     }
 
@@ -169,7 +171,7 @@
             counters.add(Count.COMMANDS_ANSWERED);
             answered.answered(send.result);
         }
-        follow();
+        news = true;
     }
 
     private void forget(InHand c) {
@@ -177,8 +179,12 @@
         slots.free(c.key);
     }
 
-    /** Follows the module until it names a span to wait, and wakes up after that. */
-    private void follow() {
+    /** Follows the module, where there is news for it, until it names a span to wait; wakes up after that. */
+    void follow() {
+        if (!news) {
+            return;
+        }
+        news = false;
         Span wait;
         try {
             wait = followed(counters.of(Count.FAULTS));
@@ -187,7 +193,7 @@
             wait = AFTER_FAULT;
         }
         deadlines.cancel(wake);
-        wake = wait == null ? null : deadlines.set(clock.now().plus(wait), this::follow);
+        wake = wait == null ? null : deadlines.set(clock.now().plus(wait), () -> news = true);
     }
 
     private Span followed(long faults) {
--- a/src/main/java/cobaltseam/service/Installation.java
+++ b/src/main/java/cobaltseam/service/Installation.java
@@ -75,9 +75,10 @@
                 (int) Math.max(1, limits.whole("streams_per_conn", 1)));
     }
 
-    Installation listeningOn(InetSocketAddress other) {
-        return new Installation(name, other, bus, seed, sockets, memoryBytes, knownOffset, known, deployment, connectTimeout,
-                connectionIdle, sendsPerConnection);
+    /** The same deployment at other addresses. */
+    Installation movedTo(InetSocketAddress listensOn, InetSocketAddress busAt, List<Roster> engines) {
+        return new Installation(name, listensOn, busAt, seed, sockets, memoryBytes, knownOffset, engines, deployment,
+                connectTimeout, connectionIdle, sendsPerConnection);
     }
 
     /** An address with its port; no name is ever looked up. */
--- a/src/main/java/cobaltseam/service/Service.java
+++ b/src/main/java/cobaltseam/service/Service.java
@@ -32,6 +32,7 @@
     private static final Span FLUSH_WITHIN = new Span(200_000);
     private static final Span LONGEST_WAIT = new Span(1_000_000);
     private static final String HANG_UP = "HUP";
+    private static final int MOST_AT_ONCE = 1024;
     private static final int BACKLOG = 1024;
     private static final int LARGEST_READ = 1 << 14;
 
@@ -39,7 +40,7 @@
     private final Clock clock = new Clock();
     private final Deadlines deadlines = new Deadlines();
     private final Counters counters = new Counters();
-    private final Inbox inbox = new Inbox(counters);
+    final Inbox inbox = new Inbox(counters);
     private final CountDownLatch ended = new CountDownLatch(1);
     private final ExecutorService threads = Executors.newCachedThreadPool(Service::thread);
     /** One for both sides: the process has one core. */
@@ -83,6 +84,7 @@
         }, "stop"));
         try {
             service.open();
+            LOG.log(Level.INFO, "{0} serves on {1}", told.name(), service.address());
             service.loop();
         } finally {
             service.ended.countDown();
@@ -93,7 +95,8 @@
     public static void rehearse() throws IOException, InterruptedException {
         Installation told = Installation.read(System.getenv());
         Warmup.run(told);
-        Service service = new Service(told.listeningOn(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)));
+        Service service = new Service(told.movedTo(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                told.bus(), told.known()));
         service.open();
         Thread asker = new Thread(service::askOnce);
         asker.start();
@@ -131,7 +134,6 @@
         told.known().forEach(commands::listed);
         bus.connect();
         acceptor.bind(told.listen());
-        LOG.log(Level.INFO, "{0} serves on {1}", told.name(), address());
     }
 
     /** SIGHUP: reads the configuration anew; one that can't be used changes nothing. */
@@ -170,8 +172,10 @@
     /** Runs what is handed over and what is due, until it is to stop and nothing is open. */
     void loop() throws InterruptedException {
         while (leaveFrom == null || clock.now().before(leaveFrom) || !commands.isEmpty()) {
+            // All that has come is heard before a deadline acts on what has not, or is decided on: a process
+            // that was held up would else give up sends whose answers lie here.
             Runnable task = inbox.next(deadlines.untilNext(clock.now(), LONGEST_WAIT));
-            if (task != null) {
+            for (int heard = 1; task != null; task = heard++ < MOST_AT_ONCE ? inbox.next(Span.ZERO) : null) {
                 task.run();
             }
             for (Runnable due = deadlines.due(clock.now()); due != null; due = deadlines.due(clock.now())) {
@@ -182,6 +186,7 @@
                     LOG.log(Level.ERROR, "a fault at a deadline", e);
                 }
             }
+            commands.follow();
         }
         Moment until = clock.now().plus(FLUSH_WITHIN);
         while (!clients.allWritten() && clock.now().before(until)) {
@@ -190,6 +195,16 @@
         ended.countDown();
     }
 
+    /** Commands answered; to be asked when the loop has ended. */
+    long answered() {
+        return counters.of(Count.COMMANDS_ANSWERED);
+    }
+
+    /** Asks the loop to end once nothing is open. */
+    void end() {
+        inbox.post(null, () -> leaveFrom = clock.now());
+    }
+
     /** Asks the loop to end: it goes on serving until nothing is open. Returns when it has ended. */
     void stop() {
         inbox.post(null, () -> {
--- a/src/test/java/cobaltseam/service/ServiceTest.java
+++ b/src/test/java/cobaltseam/service/ServiceTest.java
@@ -24,6 +24,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
@@ -383,6 +384,28 @@
         assertEquals(List.of("empty"), client.ask(""));
     }
 
+    /** A process that is held up finds answers waiting when it goes on; only then may it miss any. */
+    @Test
+    void whatHasComeIsHeardBeforeADeadlineActsOnWhatHasNot() throws Exception {
+        Peer engine = new Peer(true);
+        start(engine);
+        Client client = new Client(command("look", 1, 3000));
+        Message pull = engine.next("PULL");
+        CountDownLatch held = new CountDownLatch(1);
+        service.inbox.post(null, () -> {
+            try {
+                held.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        pull.answer(pull.id(), "200", "pages=1", ROWS);
+        Thread.sleep(1000);
+        held.countDown();
+        assertEquals("SELECT 2", client.told().get(2));
+        assertTrue(engine.heard.isEmpty(), "the send was given up with its answer there");
+    }
+
     @Test
     void refusedConnectionsProveThatNothingRan() throws Exception {
         try (ServerSocket closed = new ServerSocket(0)) {
@@ -754,6 +777,11 @@
         assertTrue(System.nanoTime() - asked >= TimeUnit.MILLISECONDS.toNanos(700));
     }
 
+    @Test
+    void theWarmUpPlaysCommandsThroughTheWholeService() throws Exception {
+        assertTrue(Warmup.run(told("127.0.0.1:9", SOCKETS, IDLE_MS, target(1, "127.0.0.1:9", "in_service"))) > 0);
+    }
+
     @Test
     void aConfigurationThatCantBeUsedIsTold() {
         for (String bad : List.of("nowhere:80", "127.0.0.1", "127.0.0.1:70000", "127.0.0.1:x", "")) {
