What is over its share may borrow where reports tell of room beyond it

Seen: on reload the 5 s in which one dispatcher carries nearly all refused 17 to 26%. Checked and ruled out: its processor time (0.1 of its half core), engines at their limit (5 to 8 commands in hand each, fewer than before), borrowing (0.9 of 1 and more), room by reports (others at 0 to 2 of 16 threads), and the start of the others: borrowing from the first report on was measured and taken back. A trace: of 350 commands 211 counted as over their share, held at four to five threads an engine, beside idle ones; all that was held were such. At fault: Dispatcher.fits, which never let them borrow.

--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -481,7 +481,11 @@
     private boolean fits(Engine e, Cmd cmd, Moment now) {
         double threads = threads(cmd, e);
         double budget = share(e, now);
-        if (!cmd.overShare && e.threads + threads > budget && roomForAll(e, threads, now)) {
+        // What is over its share may borrow only where reports tell of room beyond it: a flood finds none, the
+        // traffic of a dispatcher that stopped does, and would else be shed beside idle engines.
+        double beyond = cmd.overShare ? e.whole * (1 - 1 / NEAR) : 0;
+        if (e.threads + threads > budget && (beyond == 0 || load.weight > 0)
+                && roomForAll(e, threads + beyond, now)) {
             budget *= 1 + (dispatchers - 1) * borrowed(e, cmd.way);
         }
         if (budget < threads) {
--- a/src/test/java/cobaltseam/dispatch/DesignTest.java
+++ b/src/test/java/cobaltseam/dispatch/DesignTest.java
@@ -224,6 +224,29 @@
         assertTrue(w.finals.size() - finals > 300, "over the share and under strain it is shed at once");
     }
 
+    /** The traffic of a dispatcher that stopped: over the share here, but what engines report leaves room for it. */
+    @Test
+    void whatIsOverTheShareBorrowsOnlyWhereReportsLeaveRoomBeyondIt() {
+        assertTrue(outBeyondShare(-1) <= 4, "nothing is reported");
+        assertTrue(outBeyondShare(20) <= 4, "others use it");
+        int idle = outBeyondShare(0);
+        assertTrue(idle > 8 && idle < 16, "most of the whole figure, never all: " + idle);
+    }
+
+    private static int outBeyondShare(double inHand) {
+        World w = world(0, 4, 1, 4);
+        w.inHand = inHand;
+        answer(w, 60, WORK);
+        for (int i = 0; i < 100; i++) {
+            w.take("p", WORK);
+            List.copyOf(w.out.values()).forEach(o -> w.end(o, Ending.ANSWERED, true));
+        }
+        for (int i = 0; i < 30; i++) {
+            w.take("p", WORK);
+        }
+        return w.out.size();
+    }
+
     @Test
     void answersReadLateAreNotSlow() {
         World w = world(0, 4, 1, 4);
