Clients are accepted beyond the bound at which the longest idle gives way

Ruled out: engines (as many commands in hand as before) and processor time (0.2 of a core by then). At fault: Door.accept, which at its bound waits for a connection to close, up to 20 ms each, and Clients.opened, which closes one only when the next has been accepted: both had the same bound, so each waited for the other. Now clients have 5/12 of the descriptors, the door 1/2.

--- a/src/main/java/cobaltseam/service/Clients.java
+++ b/src/main/java/cobaltseam/service/Clients.java
@@ -132,8 +132,15 @@
         slots = new Slots<>(most);
     }
 
-    /** Half of the descriptors: a third is the usual clients', the rest of it may go to others. */
-    static int mostClients(Installation told) {
+    /**
+     * More than the third of the descriptors that is the usual clients', and less than the half that may be
+     * accepted: one that comes at the bound is accepted at once, and makes the longest idle give way.
+     */
+    private static int mostClients(Installation told) {
+        return told.sockets() * 5 / 12;
+    }
+
+    static int mostAccepted(Installation told) {
         return told.sockets() / 2;
     }
 
--- a/src/main/java/cobaltseam/service/Door.java
+++ b/src/main/java/cobaltseam/service/Door.java
@@ -18,6 +18,7 @@
     private final Object changed = new Object();
     private final int most;
     private int open;
+    private int waits;
 
     Door(Executor threads, IoProcessor<NioSession> processor, int most) {
         super(threads, processor);
@@ -28,6 +29,7 @@
     protected NioSession accept(IoProcessor<NioSession> processor, ServerSocketChannel handle) throws Exception {
         synchronized (changed) {
             if (open >= most) {
+                waits++;
                 changed.wait(WAIT_MS);
             }
         }
@@ -39,6 +41,13 @@
         return session;
     }
 
+    /** How often one was not accepted at once. */
+    int waits() {
+        synchronized (changed) {
+            return waits;
+        }
+    }
+
     private void count(int more) {
         synchronized (changed) {
             open += more;
--- a/src/main/java/cobaltseam/service/Service.java
+++ b/src/main/java/cobaltseam/service/Service.java
@@ -46,7 +46,7 @@
     /** One for both sides: the process has one core. */
     private final IoProcessor<NioSession> processor =
             new SimpleIoProcessorPool<>(NioProcessor.class, threads, 1, null);
-    private final Door acceptor;
+    final Door acceptor;
     private final NioSocketConnector toEngines = new NioSocketConnector(threads, processor);
     private final NioSocketConnector toBus = new NioSocketConnector(threads, processor);
     private final Engines engines;
@@ -62,7 +62,7 @@
         clients = new Clients(told, commands, new SplittableRandom(~told.seed()), inbox, clock, deadlines,
                 counters);
         bus = new EventBus(told, toBus, inbox, clock, deadlines, counters, commands::listed);
-        acceptor = new Door(threads, processor, Clients.mostClients(told));
+        acceptor = new Door(threads, processor, Clients.mostAccepted(told));
         tune(toEngines.getSessionConfig());
         tune(toBus.getSessionConfig());
         tune(acceptor.getSessionConfig());
--- a/src/test/java/cobaltseam/service/ServiceTest.java
+++ b/src/test/java/cobaltseam/service/ServiceTest.java
@@ -461,7 +461,7 @@
     @Test
     void whereDescriptorsAreFewSendsShareConnectionsAndAreGivenUpByWord() throws Exception {
         Peer engine = new Peer(true);
-        start(4, IDLE_MS, engine);
+        start(5, IDLE_MS, engine);
         Client one = new Client(command("once", 1, 700));
         Message first = engine.next("PULL");
         Client two = new Client(command("once", 2, 3000));
@@ -610,7 +610,7 @@
     @Test
     void connectionsThatStayGiveWayToThoseThatAsk() throws Exception {
         Peer engine = new Peer(true);
-        start(16, IDLE_MS, engine);
+        start(48, IDLE_MS, engine);
         Client open = new Client(look(1, 10_000));
         Message first = engine.next("PULL");
         List<Client> stayed = new ArrayList<>();
@@ -622,6 +622,7 @@
             stayed.add(client);
         }
         assertTrue(stayed.get(0).in.read() < 0, "the longest idle has given way");
+        assertTrue(service.acceptor.waits() < 10, "room is made before it is needed: " + service.acceptor.waits());
         assertEquals(List.of("empty"), stayed.get(39).ask(""));
         first.answer(first.id(), "200", "pages=1", ROWS);
         assertEquals("SELECT 2", open.told().get(2), "not one with an open statement");
