A connection gives way only once all that had come on it is read

At fault: Clients.makeRoom, which closed what looked idle to the thread that owns the state, while statements lay unread in the machine's buffers or unheard in the inbox; and the close of those that ask nothing for 2 s, likewise. Now the I/O thread (Sockets) reads once more and decides; those that asked once go before those that asked more often.

--- a/src/main/java/cobaltseam/service/Clients.java
+++ b/src/main/java/cobaltseam/service/Clients.java
@@ -54,6 +54,10 @@
         final Deque<Heard> waiting = new ArrayDeque<>();
         /** Messages handed over and not yet heard. */
         final AtomicInteger unheard = new AtomicInteger();
+        /** Whole messages handed over since it came. */
+        volatile int spoken;
+        boolean leaving;
+        int statements;
         /** What its parser holds; and whether it has sent more at once than is handed over. */
         int parsing;
         boolean flooding;
@@ -109,19 +113,24 @@
     private final BoundedLog log;
     private final Commands commands;
     private final RandomGenerator secrets;
+    private final Sockets sockets;
     private final int most;
     /** Bytes of clients' messages, whole or not, until they are done with; and their bound. */
     private final AtomicLong held = new AtomicLong();
     private final long mostHeld;
     private final Slots<Client> slots;
-    /** Clients with no statement open, the longest idle first: those that never asked, and the others. */
+    /** Clients with no statement open, the longest idle first: by whether they asked never, once, or more. */
     private final Set<Client> unasked = new LinkedHashSet<>();
+    private final Set<Client> askedOnce = new LinkedHashSet<>();
     private final Set<Client> resting = new LinkedHashSet<>();
+    /** Clients that are to be closed unless they have spoken. */
+    private int leaving;
 
-    Clients(Installation told, Commands commands, RandomGenerator secrets, Inbox inbox, Clock clock,
-            Deadlines deadlines, Counters counters) {
+    Clients(Installation told, Commands commands, RandomGenerator secrets, Sockets sockets, Inbox inbox,
+            Clock clock, Deadlines deadlines, Counters counters) {
         this.commands = commands;
         this.secrets = secrets;
+        this.sockets = sockets;
         this.inbox = inbox;
         this.clock = clock;
         this.deadlines = deadlines;
@@ -129,7 +138,7 @@
         log = new BoundedLog(System.getLogger(Clients.class.getName()), clock);
         most = mostClients(told);
         mostHeld = told.memoryBytes() / HELD_PART;
-        slots = new Slots<>(most);
+        slots = new Slots<>(mostAccepted(told));
     }
 
     /**
@@ -177,6 +186,7 @@
             return;
         }
         Heard heard = new Heard(message, read);
+        client.spoken++;
         held.addAndGet(heard.size());
         inbox.post(client.session, () -> {
             client.unheard.decrementAndGet();
@@ -213,7 +223,7 @@
     // ---- sessions
 
     private void opened(Client client) {
-        if (slots.size() >= most) {
+        if (slots.size() - leaving >= most) {
             makeRoom();
         }
         client.key = slots.take(client);
@@ -226,20 +236,59 @@
         counters.add(Count.CLIENTS_OPENED);
         client.secret = secrets.nextInt();
         unasked.add(client);
-        client.closeAt = deadlines.set(clock.now().plus(ASK_WITHIN), client.session::closeNow);
+        askSoon(client);
+    }
+
+    private void askSoon(Client client) {
+        client.closeAt = deadlines.set(clock.now().plus(ASK_WITHIN), () -> leave(client));
     }
 
     /**
-     * Closes the longest idle connection, without a word that could be taken for the answer to a statement
-     * on its way. Those that never asked go first while they hold more than half.
+     * Makes the longest idle connection give way. Those that never asked go first while they hold more than
+     * half, then those that asked once, as a client that keeps its connection to use it again does so soon.
      */
     private void makeRoom() {
-        Set<Client> from = resting.isEmpty() || unasked.size() > most / 2 ? unasked : resting;
+        Set<Client> from = unasked.size() > most / 2 ? unasked : !askedOnce.isEmpty() ? askedOnce
+                : !resting.isEmpty() ? resting : unasked;
         if (!from.isEmpty()) {
-            Client longest = from.iterator().next();
             counters.add(Count.CLIENTS_GAVE_WAY);
-            longest.session.closeNow();
-            closed(longest);
+            leave(from.iterator().next());
+        }
+    }
+
+    /**
+     * Closes a connection that is idle, without a word that could be taken for the answer to a statement on
+     * its way, and only if no statement has come whole meanwhile: one that was taken is answered.
+     */
+    private void leave(Client client) {
+        if (client.leaving || slots.get(client.key) != client) {
+            return;
+        }
+        client.leaving = true;
+        leaving++;
+        idle(client, false);
+        int spoken = client.spoken - client.unheard.get();
+        sockets.afterReading(() -> {
+            boolean silent = client.spoken == spoken;
+            if (silent) {
+                client.session.closeNow();
+            }
+            inbox.post(client.session, () -> left(client, silent));
+        });
+    }
+
+    private void left(Client client, boolean silent) {
+        if (slots.get(client.key) == client) {
+            leaving--;
+            client.leaving = false;
+            if (silent) {
+                closed(client);
+            } else if (!client.busy) {
+                idle(client, true);
+            }
+            if (!silent && client.statements == 0) {
+                askSoon(client);
+            }
         }
     }
 
@@ -248,8 +297,8 @@
             counters.add(Count.CLIENTS_CLOSED);
             deadlines.cancel(client.closeAt);
             slots.free(client.key);
-            unasked.remove(client);
-            resting.remove(client);
+            leaving -= client.leaving ? 1 : 0;
+            idle(client, false);
             deadlines.cancel(client.rest);
             client.waiting.forEach(this::done);
             client.waiting.clear();
@@ -272,23 +321,32 @@
 
     /** A statement has come whole: what was owed to show that this is a client at all. */
     private void asked(Client client) {
-        if (unasked.remove(client)) {
+        if (client.statements++ == 0) {
             deadlines.cancel(client.closeAt);
-            resting.add(client);
         }
+        idle(client, true);
     }
 
     private void busy(Client client, boolean busy) {
         client.busy = busy;
-        if (busy) {
-            resting.remove(client);
-        } else if (slots.get(client.key) == client) {
-            resting.add(client);
+        idle(client, !busy && slots.get(client.key) == client);
+    }
+
+    /** Takes it out of those that are idle, or puts it behind all others there. */
+    private void idle(Client client, boolean idle) {
+        unasked.remove(client);
+        askedOnce.remove(client);
+        resting.remove(client);
+        if (idle && !client.leaving) {
+            (client.statements == 0 ? unasked : client.statements == 1 ? askedOnce : resting).add(client);
         }
     }
 
     private void heard(Client client, Heard heard) {
         if (slots.get(client.key) != client) {
+            if (heard.size() > 0) {
+                counters.add(Count.STATEMENTS_UNHEARD);
+            }
             done(heard);
         } else if (!client.busy) {
             take(client, heard);
--- a/src/main/java/cobaltseam/service/Service.java
+++ b/src/main/java/cobaltseam/service/Service.java
@@ -15,11 +15,7 @@
 import cobaltseam.dispatch.Moment;
 import cobaltseam.dispatch.Span;
 import cobaltseam.service.Counters.Count;
-import org.apache.mina.core.service.IoProcessor;
-import org.apache.mina.core.service.SimpleIoProcessorPool;
 import org.apache.mina.transport.socket.SocketSessionConfig;
-import org.apache.mina.transport.socket.nio.NioProcessor;
-import org.apache.mina.transport.socket.nio.NioSession;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
 import sun.misc.Signal;
 
@@ -44,8 +40,7 @@
     private final CountDownLatch ended = new CountDownLatch(1);
     private final ExecutorService threads = Executors.newCachedThreadPool(Service::thread);
     /** One for both sides: the process has one core. */
-    private final IoProcessor<NioSession> processor =
-            new SimpleIoProcessorPool<>(NioProcessor.class, threads, 1, null);
+    private final Sockets processor = new Sockets(threads);
     final Door acceptor;
     private final NioSocketConnector toEngines = new NioSocketConnector(threads, processor);
     private final NioSocketConnector toBus = new NioSocketConnector(threads, processor);
@@ -59,8 +54,8 @@
         this.told = told;
         engines = new Engines(told, toEngines, inbox, clock, deadlines, counters);
         commands = new Commands(told.deployment(), told.seed(), engines, deadlines, clock, counters);
-        clients = new Clients(told, commands, new SplittableRandom(~told.seed()), inbox, clock, deadlines,
-                counters);
+        clients = new Clients(told, commands, new SplittableRandom(~told.seed()), processor, inbox, clock,
+                deadlines, counters);
         bus = new EventBus(told, toBus, inbox, clock, deadlines, counters, commands::listed);
         acceptor = new Door(threads, processor, Clients.mostAccepted(told));
         tune(toEngines.getSessionConfig());
--- a/src/test/java/cobaltseam/service/ServiceTest.java
+++ b/src/test/java/cobaltseam/service/ServiceTest.java
@@ -384,13 +384,8 @@
         assertEquals(List.of("empty"), client.ask(""));
     }
 
-    /** A process that is held up finds answers waiting when it goes on; only then may it miss any. */
-    @Test
-    void whatHasComeIsHeardBeforeADeadlineActsOnWhatHasNot() throws Exception {
-        Peer engine = new Peer(true);
-        start(engine);
-        Client client = new Client(command("look", 1, 3000));
-        Message pull = engine.next("PULL");
+    /** Holds up the thread that owns the state until this is counted down. */
+    private CountDownLatch holdUp() {
         CountDownLatch held = new CountDownLatch(1);
         service.inbox.post(null, () -> {
             try {
@@ -399,6 +394,17 @@
                 Thread.currentThread().interrupt();
             }
         });
+        return held;
+    }
+
+    /** A process that is held up finds answers waiting when it goes on; only then may it miss any. */
+    @Test
+    void whatHasComeIsHeardBeforeADeadlineActsOnWhatHasNot() throws Exception {
+        Peer engine = new Peer(true);
+        start(engine);
+        Client client = new Client(command("look", 1, 3000));
+        Message pull = engine.next("PULL");
+        CountDownLatch held = holdUp();
         pull.answer(pull.id(), "200", "pages=1", ROWS);
         Thread.sleep(1000);
         held.countDown();
@@ -628,6 +634,28 @@
         assertEquals("SELECT 2", open.told().get(2), "not one with an open statement");
     }
 
+    /** One that looks idle to a process that was held up may have asked: what was taken is answered. */
+    @Test
+    void anIdleConnectionDoesNotGiveWayOnceItHasAsked() throws Exception {
+        Peer engine = new Peer(true);
+        start(16, IDLE_MS, engine);
+        List<Client> idle = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            idle.add(new Client());
+            assertEquals(List.of("empty"), idle.get(i).ask(""));
+        }
+        CountDownLatch held = holdUp();
+        Socket another = new Socket(service.address().getAddress(), service.address().getPort());
+        Thread.sleep(200);
+        idle.get(0).query(idle.get(0).out, look(1, 10_000));
+        Thread.sleep(200);
+        held.countDown();
+        Message pull = engine.next("PULL");
+        pull.answer(pull.id(), "200", "pages=1", ROWS);
+        assertEquals("SELECT 2", idle.get(0).told().get(2));
+        another.close();
+    }
+
     @Test
     void connectionsThatSayNothingGiveWayAndAreClosedSoon() throws Exception {
         Peer engine = new Peer(true);
