Groundwork of mastership: own settings, command line, VRRP packets and rules

Need: other installations share a virtual address among the dispatchers of a hall; nothing here knew VRRP, and the service had no settings beyond the platform's.

Change: cobaltseam.toml (TOML and JSON schema by libraries, checks across keys), picocli commands off the platform's path, JSON log lines, the VRRPv3 codec with both IPv4 checksums and an HMAC seal, and the mastership module without I/O: the RFC's state machine, a fence in time, fitness with damping, freshness of sealed adverts, and over how many dispatchers engines are shared.

--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -71,6 +71,8 @@
     // ---- state that lives as long as the instance
 
     private final int number, dispatchers, mostSends;
+    /** Dispatchers that the engines are shared over: all, or only those that carry traffic now. */
+    private double sharers;
     private final boolean cancels, tellsProgress, priorities, waitsForMemory;
     private final Span margin, shortestTarget, longestComeBack, warmWithin, noteEvery;
     /** The last one: work a core of a cold engine may be sent by this dispatcher in {@code fallWindow}. */
@@ -219,6 +221,7 @@
     public Dispatcher(Deployment told, long seed) {
         number = Math.max(0, told.number());
         dispatchers = Math.max(1, told.dispatchers());
+        sharers = dispatchers;
         chance = new SplittableRandom(seed);
         mostSends = told.means().mostSends();
         cancels = told.means().cancels();
@@ -435,6 +438,26 @@
         cuts.add(sent);
     }
 
+    /**
+     * Over how many dispatchers the engines are shared from now on, where some of those told stand by; at least 1.
+     * What all together may send a cold engine stays split over all that were told, so that no split brain and
+     * no take-over can push one over.
+     */
+    public void sharedOver(double carrying) {
+        double before = sharers;
+        sharers = Math.max(1, carrying);
+        holders.values().forEach(h -> h.perSecond *= before / sharers);
+        refreshed = null;
+    }
+
+    /** Nothing more is to be sent for the command: if it is held, or fails, it is given up when asked next. */
+    public void withdrawn(CommandId id) {
+        Cmd cmd = open.get(id);
+        if (cmd != null) {
+            cmd.drop = true;
+        }
+    }
+
     /** The client has left: nothing more is owed for the command. */
     public void departed(CommandId id, Moment now) {
         Cmd cmd = open.get(id);
@@ -458,7 +481,7 @@
         // Ties start at the dispatcher's number, or, so that engines find their data warm, at that of the
         // data set, the same everywhere; not where shares hold no whole command, and so many would herd.
         DataSetId data = cmd.command.dataSet();
-        boolean thin = !sorted.isEmpty() && sorted.get(0).whole / dispatchers < cmd.way.threads;
+        boolean thin = !sorted.isEmpty() && sorted.get(0).whole / sharers < cmd.way.threads;
         int start = data == null || thin ? number
                 : (int) Math.floorMod(data.value(), Math.max(1L, sorted.size()));
         for (int i = 0; i < sorted.size(); i++) {
@@ -481,12 +504,12 @@
     private boolean fits(Engine e, Cmd cmd, Moment now) {
         double threads = threads(cmd, e);
         double budget = share(e, now);
-        // What is over its share may borrow only where reports tell of room beyond it: a flood finds none, the
-        // traffic of a dispatcher that stopped does, and would else be shed beside idle engines.
+        // What is over its share may borrow only where reports tell of room beyond it: a flood finds none,
+        // the traffic of a dispatcher that stopped does, and would else be shed beside idle engines.
         double beyond = cmd.overShare ? e.whole * (1 - 1 / NEAR) : 0;
         if (e.threads + threads > budget && (beyond == 0 || load.weight > 0)
                 && roomForAll(e, threads + beyond, now)) {
-            budget *= 1 + (dispatchers - 1) * borrowed(e, cmd.way);
+            budget *= 1 + (sharers - 1) * borrowed(e, cmd.way);
         }
         if (budget < threads) {
             return e.threads == 0 && e.draw < budget / threads;
@@ -523,13 +546,13 @@
         double others = Math.max(0, inHand - e.out.size()) * meanThreads;
         // Where shares hold no whole command, reports are older still: there, if full engines let commands
         // wait for memory and don't spill, it errs towards use.
-        double figure = waitsForMemory && e.whole / dispatchers < threads ? e.whole * NEAR : e.whole;
+        double figure = waitsForMemory && e.whole / sharers < threads ? e.whole * NEAR : e.whole;
         return e.threads + others + threads <= figure * e.health * warmth(e, now);
     }
 
     /** This dispatcher's even share of an engine's figure, as far as the engine is well and warm. */
     private double share(Engine e, Moment now) {
-        return e.whole / dispatchers * e.health * warmth(e, now);
+        return e.whole / sharers * e.health * warmth(e, now);
     }
 
     /** The part of its work that an engine started a while ago is taken to do. */
@@ -900,7 +923,7 @@
         double[] threads = new double[ways.size()];
         for (Engine e : sorted) {
             for (Way way : e.standing == Standing.UP ? ways.values() : List.<Way>of()) {
-                threads[way.index] += share(e, now) * (1 + (dispatchers - 1) * borrowed(e, way));
+                threads[way.index] += share(e, now) * (1 + (sharers - 1) * borrowed(e, way));
             }
         }
         double[] ahead = new double[ways.size()];
--- /dev/null
+++ b/src/main/java/cobaltseam/hall/AdvertSocket.java
@@ -0,0 +1,150 @@
+package cobaltseam.hall;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.ClosedSelectorException;
+import java.nio.channels.DatagramChannel;
+import java.nio.channels.Selector;
+import java.nio.channels.SelectionKey;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * The UDP socket of adverts. A thread of its own reads it and hands over what comes from peers, no more of each at once
+ * than a bound: whoever floods it takes the others' turn neither here nor at the thread that owns the state.
+ */
+public final class AdvertSocket {
+    /** Who hears of a datagram, on the reading thread; it calls {@link #heard} once it is through with it. */
+    public interface Receiver {
+        void came(byte[] bytes, InetAddress source);
+    }
+
+    /** The longest advert with its seal has 4,132 bytes: what is longer comes cut, and is refused for its length. */
+    private static final int LARGEST = 4200;
+    /** Datagrams of one peer that may wait to be heard: two intervals of the most virtual routers. */
+    private static final int MOST_UNHEARD = 512;
+    private static final int BUFFER = 1 << 20;
+
+    private final InetSocketAddress at;
+    private final Receiver receiver;
+    private final AtomicLong strangers = new AtomicLong();
+    private final AtomicLong tooMany = new AtomicLong();
+    private volatile Map<InetAddress, AtomicInteger> unheard = Map.of();
+    private DatagramChannel channel;
+    private Selector selector;
+
+    public AdvertSocket(InetSocketAddress at, Set<InetAddress> peers, Receiver receiver) {
+        this.at = at;
+        this.receiver = receiver;
+        peers(peers);
+    }
+
+    /** From now on only what comes from these addresses is handed over. */
+    public void peers(Set<InetAddress> peers) {
+        Map<InetAddress, AtomicInteger> anew = new ConcurrentHashMap<>();
+        peers.forEach(p -> anew.put(p, unheard.getOrDefault(p, new AtomicInteger())));
+        unheard = anew;
+    }
+
+    /** @throws IOException if the address can't be bound */
+    public void open() throws IOException {
+        selector = Selector.open();
+        channel = DatagramChannel.open();
+        try {
+            channel.setOption(StandardSocketOptions.SO_RCVBUF, BUFFER);
+            channel.configureBlocking(false);
+            channel.bind(at);
+            channel.register(selector, SelectionKey.OP_READ);
+        } catch (IOException e) {
+            close();
+            throw e;
+        }
+        Thread reader = new Thread(this::read, "adverts");
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    /** The address that adverts come from. */
+    public InetAddress address() {
+        return at.getAddress();
+    }
+
+    private void read() {
+        ByteBuffer buffer = ByteBuffer.allocate(LARGEST);
+        while (selector.isOpen()) {
+            try {
+                selector.select();
+                selector.selectedKeys().clear();
+                for (InetSocketAddress from = receive(buffer); from != null; from = receive(buffer)) {
+                    handOver(buffer, from.getAddress());
+                }
+            } catch (ClosedSelectorException e) {
+                return;
+            } catch (IOException e) {
+                // An error that a datagram of ours brought back; the socket stays.
+                continue;
+            }
+        }
+    }
+
+    private InetSocketAddress receive(ByteBuffer buffer) throws IOException {
+        buffer.clear();
+        return channel.isOpen() ? (InetSocketAddress) channel.receive(buffer) : null;
+    }
+
+    private void handOver(ByteBuffer buffer, InetAddress source) {
+        AtomicInteger waiting = unheard.get(source);
+        if (waiting == null) {
+            strangers.incrementAndGet();
+        } else if (waiting.incrementAndGet() > MOST_UNHEARD) {
+            waiting.decrementAndGet();
+            tooMany.incrementAndGet();
+        } else {
+            byte[] bytes = new byte[buffer.flip().remaining()];
+            buffer.get(bytes);
+            receiver.came(bytes, source);
+        }
+    }
+
+    /** A datagram of this peer has been heard: another may wait in its place. */
+    public void heard(InetAddress source) {
+        AtomicInteger waiting = unheard.get(source);
+        if (waiting != null) {
+            waiting.decrementAndGet();
+        }
+    }
+
+    /** Datagrams from others than peers since this was last asked. */
+    public long strangers() {
+        return strangers.getAndSet(0);
+    }
+
+    /** Datagrams beyond the bound since this was last asked. */
+    public long tooMany() {
+        return tooMany.getAndSet(0);
+    }
+
+    /** Sends one; it never waits. */
+    public void send(byte[] bytes, InetSocketAddress to) throws IOException {
+        channel.send(ByteBuffer.wrap(bytes), to);
+    }
+
+    /** Closes it; nothing is handed over from then on. */
+    public void close() {
+        try {
+            if (channel != null) {
+                channel.close();
+            }
+            selector.close();
+        } catch (IOException e) {
+            // Nothing of it is left to be used.
+            channel = null;
+        }
+    }
+}
--- a/src/main/java/cobaltseam/postgres/Replies.java
+++ b/src/main/java/cobaltseam/postgres/Replies.java
@@ -11,6 +11,8 @@
     public static final String FAILED = "58000";
     /** The refusal after which trying again is harmless. */
     public static final String SHED = "53300";
+    /** The server can't take it now: as class 53, trying again is harmless. */
+    public static final String STANDS_BY = "57P03";
     public static final String BAD_STATEMENT = "42601";
     public static final String NOT_SPOKEN = "0A000";
     public static final String BAD_PROTOCOL = "08P01";
--- a/src/main/java/cobaltseam/service/Clients.java
+++ b/src/main/java/cobaltseam/service/Clients.java
@@ -1,19 +1,26 @@
 package cobaltseam.service;
 
+import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.Collections;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 import cobaltseam.dispatch.Moment;
 import cobaltseam.dispatch.Span;
+import cobaltseam.log.Field;
 import cobaltseam.postgres.ClientMessage;
 import cobaltseam.postgres.ClientParser;
 import cobaltseam.postgres.Replies;
@@ -43,7 +50,9 @@
     private static final Span CLOSE_WITHIN = new Span(1_000_000);
     /** A client that has asked nothing whole by then holds a connection for nothing. */
     private static final Span ASK_WITHIN = new Span(2_000_000);
-    private static final String COUNTERS = "show cobaltseam.counters";
+    private static final String SHOW = "show cobaltseam.";
+    private static final String COUNTERS = "counters";
+    private static final int LONGEST_SHOW = 64;
     private static final String INSERT = "insert";
     private static final int US_PER_MS = 1000;
 
@@ -57,6 +66,8 @@
         /** Whole messages handed over since it came. */
         volatile int spoken;
         boolean leaving;
+        /** Whether it is to be closed once nothing is owed on it. */
+        boolean going;
         int statements;
         /** What its parser holds; and whether it has sent more at once than is handed over. */
         int parsing;
@@ -88,9 +99,8 @@
 
         @Override
         public void shed(Span comeBack) {
-            String advice = comeBack.isPositive() ? ", pushback=" + comeBack.us() / US_PER_MS : "";
             finish(this, new Replies().error("ERROR", Replies.SHED,
-                    "shed, trying again is harmless" + advice));
+                    "shed, trying again is harmless" + advice(comeBack)));
         }
 
         @Override
@@ -106,6 +116,16 @@
         }
     }
 
+    /** Tells whether commands are taken at an address of ours, and else after how long it may be worth asking again. */
+    interface Gate {
+        boolean admits(SocketAddress at);
+
+        /** Whether sessions at this address may stay open. */
+        boolean stays(SocketAddress at);
+
+        Span comeBack(SocketAddress at);
+    }
+
     private final Inbox inbox;
     private final Clock clock;
     private final Deadlines deadlines;
@@ -125,6 +145,9 @@
     private final Set<Client> resting = new LinkedHashSet<>();
     /** Clients that are to be closed unless they have spoken. */
     private int leaving;
+    /** Whether traffic is taken at an address of ours; null where nothing can stand by. */
+    private Gate gate;
+    private final Map<String, Supplier<List<String[]>>> shown = new HashMap<>();
 
     Clients(Installation told, Commands commands, RandomGenerator secrets, Sockets sockets, Inbox inbox,
             Clock clock, Deadlines deadlines, Counters counters) {
@@ -136,6 +159,8 @@
         this.deadlines = deadlines;
         this.counters = counters;
         log = new BoundedLog(System.getLogger(Clients.class.getName()), clock);
+        shown.put(COUNTERS, () -> Arrays.stream(Count.values())
+                .map(c -> new String[] {c.label(), Long.toString(counters.of(c))}).toList());
         most = mostClients(told);
         mostHeld = told.memoryBytes() / HELD_PART;
         slots = new Slots<>(mostAccepted(told));
@@ -237,6 +262,10 @@
         client.secret = secrets.nextInt();
         unasked.add(client);
         askSoon(client);
+        if (gate != null && !gate.stays(client.session.getLocalAddress())) {
+            client.going = true;
+            goIfIdle(client);
+        }
     }
 
     private void askSoon(Client client) {
@@ -270,7 +299,9 @@
         int spoken = client.spoken - client.unheard.get();
         sockets.afterReading(() -> {
             boolean silent = client.spoken == spoken;
-            if (silent) {
+            if (silent && client.going) {
+                client.session.closeOnFlush();
+            } else if (silent) {
                 client.session.closeNow();
             }
             inbox.post(client.session, () -> left(client, silent));
@@ -283,12 +314,19 @@
             client.leaving = false;
             if (silent) {
                 closed(client);
+                if (client.going) {
+                    // What was answered last gets as long to be read as on any other close.
+                    client.closeAt = deadlines.set(clock.now().plus(CLOSE_WITHIN), client.session::closeNow);
+                }
             } else if (!client.busy) {
                 idle(client, true);
             }
             if (!silent && client.statements == 0) {
                 askSoon(client);
             }
+            if (!silent) {
+                goIfIdle(client);
+            }
         }
     }
 
@@ -350,6 +388,7 @@
             done(heard);
         } else if (!client.busy) {
             take(client, heard);
+            goIfIdle(client);
         } else if (heard.message() instanceof ClientMessage.Terminate) {
             client.session.closeNow();
         } else if (client.waiting.size() < MOST_WAITING
@@ -398,7 +437,8 @@
 
     private void protocolError(Client client, String what) {
         counters.add(Count.CLIENT_PROTOCOL_ERRORS);
-        log.warn("client {0} closed: {1}", client.session.getRemoteAddress(), what);
+        log.warn("client {0} closed: {1}", Field.of("client", client.session.getRemoteAddress()),
+                Field.of("reason", what), Field.event("client.closed"));
         write(client, new Replies().error("FATAL", Replies.BAD_PROTOCOL, what));
         close(client);
     }
@@ -420,6 +460,7 @@
                 answered(c);
                 commands.departed(command);
                 takeWaiting(c);
+                goIfIdle(c);
             }
         });
     }
@@ -431,15 +472,22 @@
             write(client, new Replies().emptyStatement().ready());
             return;
         }
-        if (isCounters(text)) {
-            Replies replies = new Replies().columns(List.of("counter", "value"));
-            for (Count what : Count.values()) {
-                byte[] row = (what.label() + '\t' + counters.of(what)).getBytes(StandardCharsets.UTF_8);
+        Supplier<List<String[]>> rows = shown.get(asksToSee(text));
+        if (rows != null) {
+            Replies replies = new Replies().columns(List.of("name", "value"));
+            for (String[] told : rows.get()) {
+                byte[] row = (told[0] + '\t' + told[1]).getBytes(StandardCharsets.UTF_8);
                 replies.row(row, 0, row.length);
             }
             write(client, replies.complete("SHOW").ready());
             return;
         }
+        if (gate != null && !gate.admits(client.session.getLocalAddress())) {
+            counters.add(Count.MASTERSHIP_TURNED_AWAY);
+            write(client, new Replies().error("ERROR", Replies.STANDS_BY, "another dispatcher is active here, trying "
+                    + "again is harmless" + advice(gate.comeBack(client.session.getLocalAddress()))).ready());
+            return;
+        }
         Statement statement;
         try {
             statement = StatementScanner.scan(text);
@@ -460,17 +508,59 @@
         }
     }
 
-    private static boolean isCounters(byte[] text) {
-        if (text.length > 2 * COUNTERS.length()) {
-            return false;
+    /** What a SHOW of ours asks to see, or nothing of the kind. */
+    private static String asksToSee(byte[] text) {
+        if (text.length > LONGEST_SHOW) {
+            return "";
         }
         String plain = new String(text, StandardCharsets.UTF_8).strip().toLowerCase(Locale.ROOT);
-        return plain.equals(COUNTERS) || plain.equals(COUNTERS + ";");
+        return plain.startsWith(SHOW) ? plain.substring(SHOW.length()).replaceAll(";$", "").strip() : "";
+    }
+
+    private static String advice(Span comeBack) {
+        return comeBack.isPositive() ? ", pushback=" + comeBack.us() / US_PER_MS : "";
+    }
+
+    // ---- standing by
+
+    /** From now on commands are taken only where and while this gate admits them. */
+    void guardedBy(Gate by) {
+        gate = by;
+    }
+
+    /** SHOW cobaltseam.NAME tells these rows. */
+    void shows(String name, Supplier<List<String[]>> rows) {
+        shown.put(name, rows);
+    }
+
+    int open() {
+        return slots.size();
+    }
+
+    /**
+     * Takes nothing more at these addresses of ours: what is held is given up, what is out is waited for and answered;
+     * where sessions end with it, each is closed once nothing is owed on it.
+     */
+    void standDown(Predicate<SocketAddress> at, boolean endsSessions) {
+        slots.forEach(client -> {
+            if (at.test(client.session.getLocalAddress())) {
+                commands.withdraw(client.command);
+                client.going |= endsSessions;
+                goIfIdle(client);
+            }
+        });
+    }
+
+    private void goIfIdle(Client client) {
+        if (client.going && !client.busy && client.waiting.isEmpty() && slots.get(client.key) == client) {
+            leave(client);
+        }
     }
 
     private void unusable(Client client, String why) {
         counters.add(Count.STATEMENTS_UNUSABLE);
-        log.warn("client {0}: {1}", client.session.getRemoteAddress(), why);
+        log.warn("client {0}: {1}", Field.of("client", client.session.getRemoteAddress()), Field.of("reason", why),
+                Field.event("statement.unusable"));
         write(client, new Replies().error("ERROR", Replies.BAD_STATEMENT, why).ready());
         // One that sends the next at once, whatever it is told, would else take all there is of a processor.
         int before = client.unusable++;
@@ -480,6 +570,7 @@
             client.rest = deadlines.set(clock.now().plus(rest), () -> {
                 client.busy = false;
                 takeWaiting(client);
+                goIfIdle(client);
             });
         }
     }
@@ -508,6 +599,7 @@
         answered(client);
         write(client, replies.ready());
         takeWaiting(client);
+        goIfIdle(client);
     }
 
     private void takeWaiting(Client client) {
@@ -520,7 +612,8 @@
         long unread = client.session.getScheduledWriteBytes();
         boolean all = client.session.getService().getScheduledWriteBytes() > MOST_UNREAD_ALL;
         if (unread > MOST_UNREAD || unread > 0 && all) {
-            log.warn("client {0} closed: it does not read", client.session.getRemoteAddress());
+            log.warn("client {0} closed: it does not read", Field.of("client", client.session.getRemoteAddress()),
+                    Field.event("client.closed"));
             client.session.closeNow();
             closed(client);
             return;
--- a/src/main/java/cobaltseam/service/Commands.java
+++ b/src/main/java/cobaltseam/service/Commands.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 import cobaltseam.dispatch.Command;
@@ -61,6 +62,8 @@
     private final Slots<InHand> slots = new Slots<>(MOST_OPEN);
     private final Map<CommandId, InHand> byId = new HashMap<>();
     private Deadlines.Deadline wake;
+    /** Whether this dispatcher may send at this moment; by default always. */
+    private BooleanSupplier maySend = () -> true;
     /** Whether the module was told something and not yet asked what follows. */
     private boolean news;
 
@@ -76,6 +79,27 @@
         engines.listener(this);
     }
 
+    /** Before each send it is asked whether this dispatcher still may. */
+    void sendsWhile(BooleanSupplier allowed) {
+        maySend = allowed;
+    }
+
+    /** The engines are shared over so many dispatchers from now on. */
+    void sharedOver(double dispatchers) {
+        dispatcher.sharedOver(dispatchers);
+        news = true;
+    }
+
+    /** Sends nothing more for a command: held, it is given up at once; out, its answer still counts. */
+    void withdraw(long key) {
+        InHand c = slots.get(key);
+        if (c != null && c.asker != null) {
+            counters.add(Count.MASTERSHIP_COMMANDS_WITHDRAWN);
+            dispatcher.withdrawn(c.id);
+            news = true;
+        }
+    }
+
     /** Whether nobody waits for an answer. */
     boolean isEmpty() {
         return byId.isEmpty();
@@ -239,8 +263,9 @@
             return;
         }
         switch (p.verdict()) {
-            case SEND -> c.out = engines.send(c.id, c.sends++, p.engine(), c.statement, p.sendTimeout(),
-                    clock.now());
+            case SEND -> c.out = maySend.getAsBoolean()
+                    ? engines.send(c.id, c.sends++, p.engine(), c.statement, p.sendTimeout(), clock.now())
+                    : engines.neverSend(c.id, c.sends++, p.engine(), c.statement, clock.now());
             case SHED -> {
                 counters.add(Count.COMMANDS_SHED);
                 Asker asker = c.asker;
--- a/src/main/java/cobaltseam/service/Engines.java
+++ b/src/main/java/cobaltseam/service/Engines.java
@@ -15,6 +15,7 @@
 import cobaltseam.dispatch.Moment;
 import cobaltseam.dispatch.Outcome.Ending;
 import cobaltseam.dispatch.Span;
+import cobaltseam.log.Field;
 import cobaltseam.postgres.Statement;
 import cobaltseam.resp.EngineAnswer;
 import cobaltseam.resp.EngineCommands;
@@ -48,6 +49,8 @@
     private static final class Machine {
         InetSocketAddress address;
         Listing.Standing standing;
+        /** Whether the last connection to it, or send on one, did not come to anything. */
+        boolean failed;
         final List<EngineConnection> connections = new ArrayList<>();
     }
 
@@ -181,6 +184,30 @@
         return send;
     }
 
+    /** A send that is not to leave after all: its outcome is that it was never sent. */
+    Send neverSend(CommandId command, int number, EngineId engine, Statement statement, Moment now) {
+        Send send = new Send(command, number, engine, statement, now, now);
+        counters.add(Count.SENDS);
+        send.timeout = deadlines.set(now, () -> end(send, Ending.NEVER_SENT));
+        return send;
+    }
+
+    /** Engines that may be sent to, as the list has them. */
+    int inService() {
+        return (int) machines.values().stream().filter(m -> m.standing == Listing.Standing.UP).count();
+    }
+
+    /** The share of those to which the last connection or send failed, from 0 to 1. */
+    double failing() {
+        int up = inService();
+        return up == 0 ? 0 : (double) machines.values().stream()
+                .filter(m -> m.standing == Listing.Standing.UP && m.failed).count() / up;
+    }
+
+    int openConnections() {
+        return connections.size();
+    }
+
     /**
      * The connection for one more send: an unused one, the last used first, or a new one; only where no
      * more can be had is one shared. A send that is alone is given up by closing its connection, which
@@ -239,6 +266,7 @@
     private void failed(EngineConnection c) {
         if (connections.get(c.key) == c) {
             counters.add(Count.ENGINE_CONNECTIONS_FAILED);
+            mark(c, true);
             remove(c, 0);
         }
     }
@@ -250,6 +278,13 @@
         }
     }
 
+    private void mark(EngineConnection c, boolean failed) {
+        Machine machine = machines.get(c.engine);
+        if (machine != null) {
+            machine.failed = failed;
+        }
+    }
+
     /** Closes a connection of our own accord. */
     private void drop(EngineConnection c) {
         if (connections.get(c.key) != c) {
@@ -327,6 +362,9 @@
             }
         }
         counters.add(Count.valueOf("SENDS_" + ending));
+        if (c != null && (ending == Ending.TIMED_OUT || ending == Ending.CUT)) {
+            mark(c, true);
+        }
         listener.ended(send, ending, now);
     }
 
@@ -345,6 +383,7 @@
 
     private void answered(EngineConnection c, List<EngineAnswer> answers, String wrong) {
         c.heard = clock.now();
+        mark(c, false);
         for (EngineAnswer answer : answers) {
             if (connections.get(c.key) != c) {
                 return;
@@ -362,7 +401,8 @@
 
     private void protocolError(EngineConnection c, String what) {
         counters.add(Count.ENGINE_PROTOCOL_ERRORS);
-        log.warn("engine {0} closed: {1}", Long.toHexString(c.engine.value()), what);
+        log.warn("engine {0} closed: {1}", Field.of("engine", Long.toHexString(c.engine.value())),
+                Field.of("reason", what), Field.event("engine.closed"));
         drop(c);
     }
 
@@ -394,8 +434,8 @@
     private void late(EngineConnection c, EngineAnswer answer) {
         if (!c.remembers(answer.id())) {
             counters.add(Count.UNKNOWN_ANSWERS);
-            log.warn("engine {0}: an answer for unknown id {1}",
-                    Long.toHexString(c.engine.value()), answer.id());
+            log.warn("engine {0}: an answer for unknown id {1}", Field.of("engine", Long.toHexString(c.engine.value())),
+                    Field.of("command", answer.id()), Field.event("engine.unknown_answer"));
             return;
         }
         counters.add(Count.LATE_ANSWERS);
@@ -438,7 +478,8 @@
     /** What can't be passed on counts as the engine's error; a connection that brought it is of no more use. */
     private void spoiled(EngineConnection c, Send send, String why) {
         counters.add(Count.ENGINE_PROTOCOL_ERRORS);
-        log.warn("engine {0}: {1}", Long.toHexString(send.engine.value()), why);
+        log.warn("engine {0}: {1}", Field.of("engine", Long.toHexString(send.engine.value())), Field.of("reason", why),
+                Field.of("command", send.call()), Field.event("engine.bad_result"));
         c.sends.remove(send.call());
         drop(c);
         end(send, Ending.ERROR);
--- a/src/main/java/cobaltseam/service/EventBus.java
+++ b/src/main/java/cobaltseam/service/EventBus.java
@@ -12,6 +12,7 @@
 import cobaltseam.deployment.Fields;
 import cobaltseam.dispatch.Moment;
 import cobaltseam.dispatch.Span;
+import cobaltseam.log.Field;
 import cobaltseam.service.Counters.Count;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
@@ -47,6 +48,7 @@
     private long life;
     private ConnectFuture future;
     private Deadlines.Deadline next;
+    private Moment heard;
 
     EventBus(Installation told, SocketConnector connector, Inbox inbox, Clock clock, Deadlines deadlines,
              Counters counters, Consumer<Roster> listener) {
@@ -59,6 +61,7 @@
         this.counters = counters;
         log = new BoundedLog(System.getLogger(EventBus.class.getName()), clock);
         this.listener = listener;
+        heard = clock.now();
         connector.setHandler(new Wire());
     }
 
@@ -122,6 +125,11 @@
         next = deadlines.set(clock.now().plus(BEAT), () -> lost(mine, "no connection"));
     }
 
+    /** How long the bus has said nothing; since the start, if it never did. */
+    Span silent(Moment now) {
+        return now.since(heard);
+    }
+
     /** The bus is at another address from now on; its numbers go on there. */
     void moved(InetSocketAddress to) {
         if (!to.equals(address)) {
@@ -162,7 +170,8 @@
         if (mine != life) {
             return;
         }
-        log.warn("event bus: {0}; asking again from {1}", why, last);
+        log.warn("event bus: {0}; asking again from {1}", Field.of("reason", why), Field.of("offset", last),
+                Field.event("bus.lost"));
         leave();
         next = deadlines.set(clock.now().plus(RETRY), this::connect);
     }
@@ -184,6 +193,7 @@
             return;
         }
         await(mine);
+        heard = clock.now();
         try {
             if (line.matches("[0-9]{1,18}")) {
                 number(mine, Long.parseLong(line));
@@ -191,7 +201,8 @@
                 event(mine, line);
             }
         } catch (IOException | BadInput e) {
-            log.warn("event bus: a line can''t be used: {0}", e.getMessage());
+            log.warn("event bus: a line can''t be used: {0}", Field.of("reason", e.getMessage()),
+                    Field.event("bus.line_unusable"));
         }
     }
 
--- a/src/main/java/cobaltseam/service/Service.java
+++ b/src/main/java/cobaltseam/service/Service.java
@@ -6,6 +6,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.file.Path;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
@@ -14,7 +15,11 @@
 
 import cobaltseam.dispatch.Moment;
 import cobaltseam.dispatch.Span;
+import cobaltseam.log.Field;
+import cobaltseam.log.JsonLines;
 import cobaltseam.service.Counters.Count;
+import cobaltseam.setup.Setup;
+import cobaltseam.setup.SetupReader;
 import org.apache.mina.transport.socket.SocketSessionConfig;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
 import sun.misc.Signal;
@@ -33,6 +38,9 @@
     private static final int LARGEST_READ = 1 << 14;
 
     private Installation told;
+    /** The own file, where one is named, and what takes part in a hall by it; else null. */
+    private Path own;
+    private Hall hall;
     private final Clock clock = new Clock();
     private final Deadlines deadlines = new Deadlines();
     private final Counters counters = new Counters();
@@ -66,11 +74,23 @@
         acceptor.setHandler(clients);
     }
 
-    /** Serves until the process is told to stop. */
-    public static void run() throws IOException, InterruptedException {
+    /**
+     * Serves until the process is told to stop.
+     *
+     * @param own the file that tells what is on beyond the platform's configuration, or null
+     */
+    public static void run(Path own) throws IOException, InterruptedException {
+        Setup setup = own == null ? null : SetupReader.read(own);
+        if (setup != null && setup.jsonLog()) {
+            JsonLines.install();
+        }
         Installation told = Installation.read(System.getenv());
         Warmup.run(told);
         Service service = new Service(told);
+        service.own = own;
+        if (setup != null && setup.hall() != null) {
+            service.joins(setup.hall());
+        }
         service.readAnewOnHangUp(System.getenv());
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             service.stop();
@@ -79,7 +99,8 @@
         }, "stop"));
         try {
             service.open();
-            LOG.log(Level.INFO, "{0} serves on {1}", told.name(), service.address());
+            LOG.log(Level.INFO, "{0} serves on {1}", Field.of("name", told.name()), Field.of("address", service.address()),
+                    Field.event("service.started"));
             service.loop();
         } finally {
             service.ended.countDown();
@@ -128,7 +149,12 @@
     void open() throws IOException {
         told.known().forEach(commands::listed);
         bus.connect();
-        acceptor.bind(told.listen());
+        if (hall == null || hall.answersStandingBy()) {
+            acceptor.bind(told.listen());
+        }
+        if (hall != null) {
+            hall.open();
+        }
     }
 
     /** SIGHUP: reads the configuration anew; one that can't be used changes nothing. */
@@ -140,24 +166,63 @@
     private synchronized void readAnew(Map<String, String> environment) {
         try {
             Installation anew = Installation.read(environment);
-            inbox.post(null, () -> renewed(anew));
+            Setup setup = own == null ? null : SetupReader.read(own);
+            inbox.post(null, () -> {
+                renewed(anew);
+                if (setup != null) {
+                    renewed(setup);
+                }
+            });
         } catch (RuntimeException e) {
             inbox.post(null, () -> counters.add(Count.CONFIGURATIONS_UNUSABLE));
-            LOG.log(Level.ERROR, "the configuration stays as it was: {0}", e.getMessage());
+            LOG.log(Level.ERROR, "the configuration stays as it was: {0}", Field.of("reason", e.getMessage()),
+                    Field.event("configuration.unusable"));
         }
     }
 
     private void renewed(Installation anew) {
         if (!anew.name().equals(told.name()) || !anew.listen().equals(told.listen())
                 || !anew.deployment().equals(told.deployment())) {
-            LOG.log(Level.WARNING, "name, address and the settings of decisions stay until the next start");
+            LOG.log(Level.WARNING, "name, address and the settings of decisions stay until the next start",
+                    Field.event("configuration.partly"));
         }
         counters.add(Count.CONFIGURATIONS_READ);
         told = anew;
         engines.renewed(anew);
         bus.told(anew.known());
         bus.moved(anew.bus());
-        LOG.log(Level.INFO, "{0} has read its configuration anew; the event bus is at {1}", told.name(), anew.bus());
+        LOG.log(Level.INFO, "{0} has read its configuration anew; the event bus is at {1}", Field.of("name", told.name()),
+                Field.of("bus", anew.bus()), Field.event("configuration.read"));
+    }
+
+    private void renewed(Setup setup) {
+        if (hall != null && setup.hall() != null) {
+            hall.renewed(setup.hall());
+        } else if (hall != null || setup.hall() != null) {
+            LOG.log(Level.WARNING, "whether mastership is on stays until the next start",
+                    Field.event("configuration.partly"));
+        }
+    }
+
+    /** What a configuration would serve, in one line. */
+    public static String check(Map<String, String> environment) {
+        Installation told = Installation.read(environment);
+        return told.name() + " on " + told.listen() + ", event bus " + told.bus() + ", " + told.deployment().dispatchers()
+                + " dispatchers, " + told.deployment().profiles().size() + " profiles, limits " + told.sockets()
+                + " descriptors and " + (told.memoryBytes() >> 20) + " MB";
+    }
+
+    /** Takes part in a hall from the start on. */
+    void joins(Setup.Hall with) {
+        // Or what is in hand would be cut when the last listener closes.
+        acceptor.setCloseOnDeactivation(false);
+        hall = new Hall(with, told, this::report, commands, clients, acceptor, inbox, clock, deadlines, counters);
+    }
+
+    /** What this dispatcher's fitness is judged by. */
+    private Hall.Report report() {
+        return new Hall.Report(bus.silent(clock.now()), engines.inService(), engines.failing(),
+                (double) (clients.open() + engines.openConnections()) / told.sockets());
     }
 
     InetSocketAddress address() {
@@ -171,8 +236,14 @@
             // that was held up would else give up sends whose answers lie here.
             Runnable task = inbox.next(deadlines.untilNext(clock.now(), LONGEST_WAIT));
             for (int heard = 1; task != null; task = heard++ < MOST_AT_ONCE ? inbox.next(Span.ZERO) : null) {
+                if (hall != null) {
+                    hall.look();
+                }
                 task.run();
             }
+            if (hall != null) {
+                hall.look();
+            }
             for (Runnable due = deadlines.due(clock.now()); due != null; due = deadlines.due(clock.now())) {
                 try {
                     due.run();
@@ -203,6 +274,9 @@
     /** Asks the loop to end: it goes on serving until nothing is open. Returns when it has ended. */
     void stop() {
         inbox.post(null, () -> {
+            if (hall != null) {
+                hall.leave();
+            }
             leaveFrom = clock.now().plus(STOP_AFTER);
             deadlines.set(leaveFrom, () -> { });
         });
@@ -215,6 +289,9 @@
 
     /** Closes what is open; for a service that ends before its process does. */
     void close() {
+        if (hall != null) {
+            hall.close();
+        }
         acceptor.dispose();
         toEngines.dispose();
         toBus.dispose();
--- a/src/main/java/cobaltseam/service/Warmup.java
+++ b/src/main/java/cobaltseam/service/Warmup.java
@@ -19,6 +19,7 @@
 import cobaltseam.dispatch.Deployment;
 import cobaltseam.dispatch.EngineId;
 import cobaltseam.dispatch.Listing;
+import cobaltseam.log.Field;
 import cobaltseam.resp.RespParser;
 
 /**
@@ -60,7 +61,8 @@
                 warmup.bus.close();
             }
         } catch (IOException | BadInput e) {
-            LOG.log(Level.WARNING, "no warm-up, the first answers take longer: {0}", e.getMessage());
+            LOG.log(Level.WARNING, "no warm-up, the first answers take longer: {0}",
+                    Field.of("reason", e.getMessage()), Field.event("warmup.none"));
             return 0;
         }
     }
--- /dev/null
+++ b/src/main/java/cobaltseam/setup/Setup.java
@@ -0,0 +1,40 @@
+package cobaltseam.setup;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import cobaltseam.dispatch.Span;
+import cobaltseam.mastership.Fitness;
+import cobaltseam.mastership.Terms;
+import cobaltseam.vrrp.Reading.Covers;
+import cobaltseam.vrrp.SealKeys;
+
+/** What our own file switches on; a part that is null is off. */
+public record Setup(boolean jsonLog, Hall hall) {
+    /** Without a file: everything is off. */
+    public static final Setup OFF = new Setup(false, null);
+
+    /** The group of dispatchers that share virtual addresses by VRRP; elsewhere is below zero where it is not set. */
+    public record Hall(InetSocketAddress listen, List<InetSocketAddress> peers, Covers covers, boolean followsIntervals,
+                       int elsewhere, boolean standByAnswers, List<Seat> seats, Sealing sealing,
+                       Fitness.Watched fitness) {
+        public Set<InetAddress> peerAddresses() {
+            return peers.stream().map(InetSocketAddress::getAddress).collect(Collectors.toSet());
+        }
+
+        public List<Terms> terms() {
+            return seats.stream().map(Seat::terms).toList();
+        }
+    }
+
+    /** One virtual router, and where clients are taken in while it is active. */
+    public record Seat(Terms terms, InetSocketAddress serve) {
+    }
+
+    /** The keys of seals, the one to write with, and how much clocks may differ. */
+    public record Sealing(SealKeys keys, int writeKey, Span clockDifference) {
+    }
+}
--- a/src/test/java/cobaltseam/dispatch/DesignTest.java
+++ b/src/test/java/cobaltseam/dispatch/DesignTest.java
@@ -71,6 +71,38 @@
         assertTrue(w.out.size() <= 4, "back to the share, not " + w.out.size());
     }
 
+    @Test
+    void enginesAreSharedOverThoseThatCarryTraffic() {
+        World w = world(0, 4, 1, 4);
+        w.dispatcher.sharedOver(2);
+        burst(w);
+        assertEquals(8, w.out.size(), "16 threads over 2 dispatchers");
+        w.dispatcher.sharedOver(1);
+        w.follow();
+        assertEquals(16, w.out.size(), "all of it for the only one");
+        w.dispatcher.sharedOver(0);
+        w.follow();
+        assertEquals(16, w.out.size(), "never more than an engine's whole figure");
+    }
+
+    @Test
+    void whatIsWithdrawnIsGivenUpAndNeverSentAgain() {
+        World w = world(0, 4, 1, 4);
+        burst(w);
+        List<Command> out = w.out.values().stream().map(World.Out::command).toList();
+        assertEquals(4, out.size());
+        for (int i = 0; i < 18; i++) {
+            w.dispatcher.withdrawn(new CommandId("c" + i));
+        }
+        w.follow();
+        assertEquals(14, w.finals.size(), "what was held has its answer");
+        assertTrue(w.finals.values().stream().allMatch(p -> p.verdict() == Placement.Verdict.SHED));
+        w.end(w.out.get(out.get(0).id()), Ending.ERROR, false);
+        assertEquals(Placement.Verdict.SHED, w.finals.get(out.get(0).id()).verdict());
+        w.end(w.out.get(out.get(1).id()), Ending.ANSWERED, true);
+        assertEquals(18, w.sends.size() + w.finals.size() - 1, "nothing was sent again");
+    }
+
     private static void answer(World w, int times, long latency) {
         for (int i = 0; i < times; i++) {
             w.take("p", WORK);
--- a/src/test/java/cobaltseam/dispatch/RulesTest.java
+++ b/src/test/java/cobaltseam/dispatch/RulesTest.java
@@ -181,6 +181,11 @@
                 world.follow();
             } else if (what < 99 && !seen.isEmpty()) {
                 depart(List.copyOf(seen.values()).get(r.nextInt(seen.size())));
+            } else if (what == 99 && !seen.isEmpty()) {
+                // Others take and leave traffic, and so does this one: nothing more is sent for what it had.
+                world.dispatcher.sharedOver(r.nextDouble() * dispatchers);
+                world.dispatcher.withdrawn(List.copyOf(seen.keySet()).get(r.nextInt(seen.size())));
+                world.follow();
             }
         }
         for (int i = 0; i < 1200; i++) {
