The service follows VRRP mastership: takes when active, finishes cleanly on losing it

Need: dispatchers that share a virtual address; work taken by the former master must still get one final answer.

The decision module answers how long the send of a withdrawn command may take, since no other follows it.

--- /dev/null
+++ b/bench/vrrp.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# The long measurements of mastership; docs/measures-vrrp.md holds what they gave.
+#   bench/vrrp.sh flips 60 16 | takeover 40 | false 30 | split | routers
+#   bench/vrrp.sh explore 'preempt:200,100:3,1,1,1,1' ...
+set -eu
+cd "$(dirname "$0")/.."
+mvn -q -B test-compile
+mvn -q -B dependency:build-classpath -Dmdep.outputFile=target/classpath -Dmdep.includeScope=test
+path="target/classes:target/test-classes:$(cat target/classpath)"
+case "${1:-}" in
+    explore) shift; exec java -Xmx8g -cp "$path" cobaltseam.mastership.Exploration "$@" ;;
+    *) exec java -cp "$path" cobaltseam.standin.FlipRun "$@" ;;
+esac
--- a/src/main/java/cobaltseam/cli/Vrrp.java
+++ b/src/main/java/cobaltseam/cli/Vrrp.java
@@ -253,7 +253,7 @@
                 Came came = waiting.poll(wait.us() + 1, TimeUnit.MICROSECONDS);
                 List<Observer.Seen> seen = new ArrayList<>();
                 if (came != null) {
-                    socket.heard(came.source);
+                    socket.heard(came.bytes, came.source);
                     Intake.Verdict verdict = intake.judge(came.bytes, came.source, self, now());
                     if (verdict.advert() != null) {
                         seen.addAll(observer.heard(came.source, verdict.advert(), now()));
--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -450,12 +450,23 @@
         refreshed = null;
     }
 
-    /** Nothing more is to be sent for the command: if it is held, or fails, it is given up when asked next. */
-    public void withdrawn(CommandId id) {
+    /**
+     * Nothing more is to be sent for the command: held, it is given up when asked next. A send that is out may
+     * take this span from now, as no other follows that it would have to leave time for; null if none is out.
+     */
+    public Span withdrawn(CommandId id, Moment now) {
         Cmd cmd = open.get(id);
-        if (cmd != null) {
-            cmd.drop = true;
+        if (cmd == null) {
+            return null;
+        }
+        cmd.drop = true;
+        if (cmd.out == null) {
+            return null;
+        }
+        if (cmd.out.cutAt != null) {
+            cuts.remove(cmd.out);
         }
+        return longest(cmd, now);
     }
 
     /** The client has left: nothing more is owed for the command. */
--- a/src/main/java/cobaltseam/hall/AdvertSocket.java
+++ b/src/main/java/cobaltseam/hall/AdvertSocket.java
@@ -27,8 +27,9 @@
 
     /** The longest advert with its seal has 4,132 bytes: what is longer comes cut, and is refused for its length. */
     private static final int LARGEST = 4200;
-    /** Datagrams of one peer that may wait to be heard: two intervals of the most virtual routers. */
-    private static final int MOST_UNHEARD = 512;
+    /** Bytes of all peers that may wait to be heard, each its even part and at least two datagrams, with what keeps one. */
+    private static final int MOST_UNHEARD = 1 << 20;
+    private static final int KEEPING = 128;
     private static final int BUFFER = 1 << 20;
 
     private final InetSocketAddress at;
@@ -36,6 +37,7 @@
     private final AtomicLong strangers = new AtomicLong();
     private final AtomicLong tooMany = new AtomicLong();
     private volatile Map<InetAddress, AtomicInteger> unheard = Map.of();
+    private volatile int mostOfOne;
     private DatagramChannel channel;
     private Selector selector;
 
@@ -50,6 +52,7 @@
         Map<InetAddress, AtomicInteger> anew = new ConcurrentHashMap<>();
         peers.forEach(p -> anew.put(p, unheard.getOrDefault(p, new AtomicInteger())));
         unheard = anew;
+        mostOfOne = Math.max(2 * (LARGEST + KEEPING), MOST_UNHEARD / Math.max(1, peers.size()));
     }
 
     /** @throws IOException if the address can't be bound */
@@ -102,21 +105,23 @@
         AtomicInteger waiting = unheard.get(source);
         if (waiting == null) {
             strangers.incrementAndGet();
-        } else if (waiting.incrementAndGet() > MOST_UNHEARD) {
-            waiting.decrementAndGet();
+            return;
+        }
+        byte[] bytes = new byte[buffer.flip().remaining()];
+        if (waiting.addAndGet(bytes.length + KEEPING) > mostOfOne) {
+            waiting.addAndGet(-bytes.length - KEEPING);
             tooMany.incrementAndGet();
         } else {
-            byte[] bytes = new byte[buffer.flip().remaining()];
             buffer.get(bytes);
             receiver.came(bytes, source);
         }
     }
 
-    /** A datagram of this peer has been heard: another may wait in its place. */
-    public void heard(InetAddress source) {
+    /** A datagram of this peer has been heard: others may wait in its place. */
+    public void heard(byte[] bytes, InetAddress source) {
         AtomicInteger waiting = unheard.get(source);
         if (waiting != null) {
-            waiting.decrementAndGet();
+            waiting.addAndGet(-bytes.length - KEEPING);
         }
     }
 
--- a/src/main/java/cobaltseam/service/Commands.java
+++ b/src/main/java/cobaltseam/service/Commands.java
@@ -95,7 +95,10 @@
         InHand c = slots.get(key);
         if (c != null && c.asker != null) {
             counters.add(Count.MASTERSHIP_COMMANDS_WITHDRAWN);
-            dispatcher.withdrawn(c.id);
+            Span left = dispatcher.withdrawn(c.id, clock.now());
+            if (c.out != null && left != null) {
+                engines.letTake(c.out, clock.now().plus(left));
+            }
             news = true;
         }
     }
--- a/src/main/java/cobaltseam/service/Engines.java
+++ b/src/main/java/cobaltseam/service/Engines.java
@@ -192,6 +192,14 @@
         return send;
     }
 
+    /** A send may take until this moment, if that is later than what it was given before. */
+    void letTake(Send send, Moment until) {
+        if (!send.over && send.until.before(until) && send.connection != null) {
+            deadlines.cancel(send.timeout);
+            send.timeout = deadlines.set(until, () -> giveUp(send, Ending.TIMED_OUT));
+        }
+    }
+
     /** Engines that may be sent to, as the list has them. */
     int inService() {
         return (int) machines.values().stream().filter(m -> m.standing == Listing.Standing.UP).count();
--- a/src/main/java/cobaltseam/service/Hall.java
+++ b/src/main/java/cobaltseam/service/Hall.java
@@ -212,7 +212,7 @@
 
     private void came(byte[] bytes, InetAddress source) {
         inbox.post(null, () -> {
-            socket.heard(source);
+            socket.heard(bytes, source);
             heard(bytes, source);
         });
     }
--- a/src/main/java/cobaltseam/service/Service.java
+++ b/src/main/java/cobaltseam/service/Service.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.function.Supplier;
 
 import cobaltseam.dispatch.Moment;
 import cobaltseam.dispatch.Span;
@@ -214,9 +215,13 @@
 
     /** Takes part in a hall from the start on. */
     void joins(Setup.Hall with) {
+        joins(with, this::report);
+    }
+
+    void joins(Setup.Hall with, Supplier<Hall.Report> fitness) {
         // Or what is in hand would be cut when the last listener closes.
         acceptor.setCloseOnDeactivation(false);
-        hall = new Hall(with, told, this::report, commands, clients, acceptor, inbox, clock, deadlines, counters);
+        hall = new Hall(with, told, fitness, commands, clients, acceptor, inbox, clock, deadlines, counters);
     }
 
     /** What this dispatcher's fitness is judged by. */
--- a/src/main/java/cobaltseam/setup/SetupReader.java
+++ b/src/main/java/cobaltseam/setup/SetupReader.java
@@ -44,6 +44,7 @@
     private static final int US_PER_MS = 1000;
     private static final int US_PER_CENTISECOND = 10_000;
     private static final int LAST_PORT = 65_535;
+    private static final int MOST_CLAIMS = 1 << 13;
 
     private final Path file;
     private final JsonNode schema;
@@ -104,12 +105,12 @@
         String key = key(error.getInstanceLocation().toString());
         JsonNode there = error.getInstanceNode();
         switch (error.getKeyword()) {
-            case "required" -> wrong(join(key, error.getProperty()), null,
+            case "required" -> wrong(join(key, error.getProperty()), "nothing",
                     allowed(schemaOf(error).at("/properties/" + error.getProperty())));
             case "additionalProperties" -> {
                 List<String> names = new ArrayList<>();
                 schemaOf(error).path("properties").fieldNames().forEachRemaining(names::add);
-                wrong(join(key, error.getProperty()), there == null ? null : there.path(error.getProperty()),
+                wrong(join(key, error.getProperty()), there == null ? MissingNode.getInstance() : there.path(error.getProperty()),
                         "only these are allowed there: " + String.join(", ", names));
             }
             default -> wrong(key, there, allowed(schemaOf(error)));
@@ -177,8 +178,11 @@
     }
 
     private void wrong(String key, JsonNode there, String allowed) {
-        wrong.add(file + ": " + key + ": " + (there == null || there.isMissingNode() ? "nothing" : there.toString())
-                + " stands there; " + allowed.strip());
+        wrong(key, there == null || there.isMissingNode() ? "nothing" : there.toString(), allowed);
+    }
+
+    private void wrong(String key, String there, String allowed) {
+        wrong.add(file + ": " + key + ": " + there + " stands there; " + allowed.strip());
     }
 
     // ---- across keys
@@ -215,6 +219,10 @@
                 wrong(key + ".serve", router.path("serve"), "each virtual router needs an address to serve of its own.");
             }
         }
+        if (told.path("peers").size() * seats.size() > MOST_CLAIMS) {
+            wrong("mastership.router", told.path("router").size() + " routers", "no more than " + MOST_CLAIMS
+                    + " routers times peers is allowed: something is kept for each.");
+        }
         return new Setup.Hall(listen, List.copyOf(peers.stream().filter(p -> p != null).toList()),
                 told.path("ipv4_checksum").asText("message").equals("message") ? Covers.MESSAGE : Covers.PSEUDO_HEADER,
                 told.path("other_interval").asText("follow").equals("follow"), told.path("elsewhere").asInt(-1),
--- a/src/test/java/cobaltseam/dispatch/DesignTest.java
+++ b/src/test/java/cobaltseam/dispatch/DesignTest.java
@@ -92,7 +92,7 @@
         List<Command> out = w.out.values().stream().map(World.Out::command).toList();
         assertEquals(4, out.size());
         for (int i = 0; i < 18; i++) {
-            w.dispatcher.withdrawn(new CommandId("c" + i));
+            w.dispatcher.withdrawn(new CommandId("c" + i), w.now);
         }
         w.follow();
         assertEquals(14, w.finals.size(), "what was held has its answer");
--- a/src/test/java/cobaltseam/dispatch/RulesTest.java
+++ b/src/test/java/cobaltseam/dispatch/RulesTest.java
@@ -184,7 +184,7 @@
             } else if (what == 99 && !seen.isEmpty()) {
                 // Others take and leave traffic, and so does this one: nothing more is sent for what it had.
                 world.dispatcher.sharedOver(r.nextDouble() * dispatchers);
-                world.dispatcher.withdrawn(List.copyOf(seen.keySet()).get(r.nextInt(seen.size())));
+                world.dispatcher.withdrawn(List.copyOf(seen.keySet()).get(r.nextInt(seen.size())), world.now);
                 world.follow();
             }
         }
