--- a/src/main/java/cobaltseam/cli/Cobaltseam.java
+++ b/src/main/java/cobaltseam/cli/Cobaltseam.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.nio.file.Path;
+import java.util.Optional;
 import java.util.concurrent.Callable;
 
 import cobaltseam.adapter.Adapter;
@@ -53,6 +54,7 @@
     /** Runs a command; its exit code is 0, 1 where its input is bad, or 2 where it is not used as it is meant. */
     public static int run(String... args) {
         CommandLine line = new CommandLine(new Cobaltseam());
+        emulator().ifPresent(e -> line.addSubcommand("emulate", e));
         line.setExecutionStrategy(new CommandLine.RunLast());
         line.setExecutionExceptionHandler((e, of, parsed) -> {
             if (e instanceof BadInput || e instanceof IOException) {
@@ -69,6 +71,15 @@
         return line.execute(args);
     }
 
+    /** The emulator's commands, where this is the jar that has them. */
+    private static Optional<Object> emulator() {
+        try {
+            return Optional.of(Class.forName("cobaltseam.emulator.Emulate").getDeclaredConstructor().newInstance());
+        } catch (ReflectiveOperationException e) {
+            return Optional.empty();
+        }
+    }
+
     /** Serves. */
     @Command(name = "serve", description = "Serves as one dispatcher, by GW_CONFIG and its own file, until SIGTERM.")
     static final class Serve implements Callable<Integer> {
--- a/src/test/java/cobaltseam/cli/CobaltseamTest.java
+++ b/src/test/java/cobaltseam/cli/CobaltseamTest.java
@@ -6,12 +6,20 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 
+import cobaltseam.vrrp.Addresses;
+import cobaltseam.vrrp.Advert;
+import cobaltseam.vrrp.AdvertCodec;
+import cobaltseam.vrrp.Reading.Covers;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.junit.jupiter.api.Test;
@@ -92,6 +100,49 @@
         }
     }
 
+    @Test
+    void watchTellsWhoIsActiveAndWhenNobodyIs(@TempDir Path folder) throws Exception {
+        int port;
+        try (DatagramSocket probe = new DatagramSocket(new InetSocketAddress("127.0.79.1", 0))) {
+            port = probe.getLocalPort();
+        }
+        Path file = Files.writeString(folder.resolve("own.toml"), """
+                [mastership]
+                listen = "127.0.79.1:%d"
+                peers = ["127.0.79.2:1", "127.0.79.3:1"]
+                router = [{id = 7, interval_ms = 20, addresses = ["192.0.2.10"], serve = "192.0.2.10:5050"}]
+                """.formatted(port));
+        Advert advert = new Advert(7, 100, 2, List.of(Addresses.read("192.0.2.10").orElseThrow()));
+        InetAddress to = InetAddress.getByName("127.0.79.1");
+        Thread speaker = new Thread(() -> {
+            try (DatagramSocket one = new DatagramSocket(new InetSocketAddress("127.0.79.2", 0));
+                    DatagramSocket other = new DatagramSocket(new InetSocketAddress("127.0.79.3", 0))) {
+                for (int i = 0; i < 300; i++) {
+                    for (DatagramSocket from : i < 100 || i >= 200 ? List.of(one) : List.of(one, other)) {
+                        byte[] bytes = AdvertCodec.write(advert, from.getLocalAddress(), to, Covers.MESSAGE);
+                        from.send(new DatagramPacket(bytes, bytes.length, to, port));
+                    }
+                    Thread.sleep(5);
+                }
+            } catch (IOException | InterruptedException e) {
+                throw new AssertionError(e);
+            }
+        });
+        speaker.start();
+        Ran ran = run("vrrp", "watch", "--config", file.toString(), "--seconds", "3");
+        speaker.join();
+        assertEquals(0, ran.code, ran.err);
+        List<String> states = new ArrayList<>();
+        for (String line : ran.out.split("\n")) {
+            JsonNode json = new ObjectMapper().readTree(line);
+            assertEquals(7, json.path("virtualRouterId").asInt());
+            states.add(json.path("state").asText());
+        }
+        assertEquals("active", states.get(0));
+        assertTrue(states.contains("split"), states.toString());
+        assertEquals("none", states.get(states.size() - 1));
+    }
+
     @Test
     void checkTellsWhatWouldBeOn(@TempDir Path folder) throws IOException {
         Path file = Files.writeString(folder.resolve("own.toml"), """
