--- a/src/main/java/cobaltseam/emulator/Emulate.java
+++ b/src/main/java/cobaltseam/emulator/Emulate.java
@@ -145,13 +145,20 @@
         private record Ran(long seed, Simulation.Result result) {
         }
 
+        /** A fault of the code under one seed is told with that seed. */
+        private Ran play(World world, long seed) {
+            try {
+                return new Ran(seed, new Simulation(world, policies(policy), common.drawn(world, seed), common.seconds, seed).run());
+            } catch (RuntimeException e) {
+                throw new IllegalStateException("seed " + seed + " ends in a fault", e);
+            }
+        }
+
         @Override
         public Integer call() {
             PrintWriter out = spec.commandLine().getOut();
             World world = common.world();
-            List<Ran> ran = IntStream.range(0, runs).parallel().mapToObj(i -> new Ran(common.seed + i,
-                    new Simulation(world, policies(policy), common.drawn(world, common.seed + i), common.seconds, common.seed + i).run()))
-                    .toList();
+            List<Ran> ran = IntStream.range(0, runs).parallel().mapToObj(i -> play(world, common.seed + i)).toList();
             long broken = ran.stream().filter(r -> r.result.brokenRules() > 0).count();
             double mean = ran.stream().mapToDouble(r -> r.result.tally().goodput()).average().orElse(0);
             long taken = ran.stream().mapToLong(r -> r.result.tally().taken()).sum();
