--- a/src/main/java/cobaltseam/emulator/Host.java
+++ b/src/main/java/cobaltseam/emulator/Host.java
@@ -118,6 +118,9 @@
 
     /** Something comes to it, now or when it goes on. */
     private void hear(Runnable what) {
+        if (policy == null) {
+            return;
+        }
         int mine = life;
         if (standsStill) {
             waiting.add(() -> {
@@ -125,7 +128,7 @@
                     what.run();
                 }
             });
-        } else if (policy != null) {
+        } else {
             what.run();
         }
     }
--- a/src/test/java/cobaltseam/emulator/RefereeTest.java
+++ b/src/test/java/cobaltseam/emulator/RefereeTest.java
@@ -113,6 +113,14 @@
         assertEquals(faults, Fault.drawn(hall(), SECONDS, 8, 5));
     }
 
+    /** What comes to a killed one while it is also to stand still must not wait for its next life. */
+    @Test
+    void aKilledDispatcherThatStandsStillHearsNothing() {
+        List<Fault> faults = List.of(new Fault(Fault.Kind.KILL, 3, 6, List.of(0), 1, 0), new Fault(Fault.Kind.PAUSE, 4, 2, List.of(0), 1, 0),
+                new Fault(Fault.Kind.DRAIN, 4.2, 2, List.of(1), 1, 0), new Fault(Fault.Kind.PAUSE, 8, 3, List.of(0), 1, 0));
+        assertEquals(0, play(hall(), faults, m -> m, 1).all());
+    }
+
     @Test
     void aDrainIgnoredIsSeen() {
         List<Fault> faults = List.of(new Fault(Fault.Kind.DRAIN, 3, 10, List.of(0, 1, 2), 1, 0));
