--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -439,9 +439,9 @@
     }
 
     /**
-     * Over how many dispatchers the engines are shared from now on, where some of those told stand by; at least 1.
-     * What all together may send a cold engine stays split over all that were told, so that no split brain and
-     * no take-over can push one over.
+     * Over how many dispatchers the engines are shared from now on, where some of those told stand by; at
+     * least 1. What all together may send a cold engine stays split over all that were told, so that no
+     * split and no take-over can push one over.
      */
     public void sharedOver(double carrying) {
         double before = sharers;
@@ -451,8 +451,8 @@
     }
 
     /**
-     * Nothing more is to be sent for the command: held, it is given up when asked next. A send that is out may
-     * take this span from now, as no other follows that it would have to leave time for; null if none is out.
+     * Nothing more is to be sent for the command: held, it is given up when asked next. A send that is out
+     * may take this span from now, as no other follows that it would leave time for; null if none is out.
      */
     public Span withdrawn(CommandId id, Moment now) {
         Cmd cmd = open.get(id);
