Where a time-out stops no work, a send keeps all the time that is of use

Checked: rules kept, no fault; memory is not counted (no estimates there); the site can't call sends off and its engines go on with what timed out (cancel = none).

Change: the PATIENCE time-out only where cancels are heeded; otherwise the send keeps longest(). Test: MoveTest fails without it (1.1 s instead of 1.5 s).

--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -641,15 +641,11 @@
      * Harm: a slow but sound send is cut and its work lost; hence the pace of its profile or engine.
      */
     private Span sendTimeout(Cmd cmd, Engine e, Moment now) {
-        Span toTarget = cmd.targetAt.since(now);
         Span timeout = longest(cmd, now);
-        if (mayFollow(cmd)) {
+        // Where a time-out stops no work, a second send only adds its work to the first's, which runs on.
+        if (mayFollow(cmd) && cancels) {
             double there = Math.max(pace(cmd.way), Math.exp(e.slowness));
             timeout = usually(cmd).times(PATIENCE * there).max(cmd.way.target.times(LEAST_PATIENCE));
-            if (!cancels) {
-                // Cutting frees nothing here: as late as another send can still be in time.
-                timeout = timeout.max(toTarget.minus(expected(cmd)));
-            }
         }
         return timeout.min(longest(cmd, now));
     }
--- /dev/null
+++ b/src/test/java/cobaltseam/dispatch/MoveTest.java
@@ -0,0 +1,53 @@
+package cobaltseam.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import cobaltseam.dispatch.Deployment.Means;
+import cobaltseam.dispatch.Outcome.Ending;
+
+/** What the deployments of the move need that the earlier ones never asked for. */
+class MoveTest {
+    private static final long WORK = 100_000;
+    private static final Means NO_CANCEL = new Means(World.TICK, 5, false, false, false, Span.ZERO,
+            new Span(2_000_000), false);
+
+    private static World world(Means means, long... engines) {
+        World w = new World(World.deployment(0, 2, World.RULES, means, World.profile("p", 1)), 7);
+        w.list(true, java.util.Arrays.stream(engines).mapToObj(World::up).toArray(Listing[]::new));
+        return w;
+    }
+
+    @Test
+    void whereATimeOutStopsNoWorkASendGetsAllTheTimeThatIsOfUse() {
+        // A cut send runs on where nothing can be called off: a second one would only add its work.
+        World w = world(NO_CANCEL, 1, 2);
+        w.take("p", WORK);
+        World.Out first = w.sends.get(0);
+        // The target is 1 s plus twice the work, 1.2 s, and it has no late benefit: of use until 1.25 times that.
+        assertEquals(1_500_000, first.timeout().us(), 10_000, "timeout " + first.timeout());
+        w.pass(new Span(1_400_000));
+        assertEquals(1, w.sends.size(), "nothing sent again while the first may still answer");
+    }
+
+    @Test
+    void whereATimeOutStopsWorkASlowSendIsCutForAnother() {
+        World w = world(new Means(World.TICK, 5, true, false, false, Span.ZERO, Span.ZERO, false), 1, 2);
+        w.take("p", WORK);
+        assertTrue(w.sends.get(0).timeout().us() < 1_000_000, "timeout " + w.sends.get(0).timeout());
+    }
+
+    @Test
+    void aShedNamesNoTimeToComeBackWhereClientsAreNotTold() {
+        World w = world(NO_CANCEL, 1);
+        w.take("p", WORK);
+        w.end(w.sends.get(0), Ending.NO_ROOM, false);
+        w.pass(new Span(3_000_000));
+        List<Placement> shed = w.finals.values().stream().filter(p -> p.verdict() == Placement.Verdict.SHED).toList();
+        shed.forEach(p -> assertEquals(Span.ZERO, p.comeBack()));
+    }
+}
