--- a/src/main/java/cobaltseam/dispatch/Deployment.java
+++ b/src/main/java/cobaltseam/dispatch/Deployment.java
@@ -37,6 +37,6 @@
 
     /** What a dispatcher may do here, how fine its clock is, and how often progress is told (zero: never). */
     public record Means(Span tick, int mostSends, boolean cancels, boolean priorities, boolean comeBack,
-                        Span longestComeBack, Span noteEvery, boolean waitsForMemory) {
+                        Span longestComeBack, Span noteEvery) {
     }
 }
--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -75,7 +75,7 @@
     private final int number, dispatchers, mostSends;
     /** Dispatchers that the engines are shared over: all, or only those that carry traffic now. */
     private double sharers;
-    private final boolean cancels, tellsProgress, priorities, waitsForMemory;
+    private final boolean cancels, tellsProgress, priorities;
     private final Span margin, shortestTarget, longestComeBack, warmWithin, noteEvery;
     /** The last one: work a core of a cold engine may be sent by this dispatcher in {@code fallWindow}. */
     private final double overShareWorth, coldFrom, coldWorkPerCore;
@@ -238,7 +238,6 @@
         noteEvery = told.means().noteEvery();
         tellsProgress = noteEvery.isPositive() && cancels;
         priorities = told.means().priorities();
-        waitsForMemory = told.means().waitsForMemory();
         margin = told.means().tick().times(2);
         longestComeBack = told.means().comeBack() ? told.means().longestComeBack() : Span.ZERO;
         overShareWorth = told.overShareWorth();
@@ -386,25 +385,16 @@
      * profiles of the same name and width their usual latency, work and need of memory. Budgets, borrowing,
      * shares and allowances of cold engines start afresh, as they depend on the settings.
      */
-    public void carryOver(Dispatcher before) {
-        for (Engine old : before.engines.values()) {
-            Engine e = fresh(old.id, old.drawn);
-            e.location = old.location;
-            e.kind = old.kind;
-            e.group = old.group;
-            e.standing = old.standing;
-            e.started = old.started;
-            e.reported = old.reported;
-            e.inHand = old.inHand;
-            Deployment.Kind kind = kinds.get(old.kind);
-            e.cores = kind == null ? old.cores : kind.cores();
-            e.whole = e.cores * THREADS_PER_CORE;
-            e.memoryPerThread = kind == null || waitsForMemory ? 0 : kind.memoryMb() / e.whole;
+    public void carryOver(Dispatcher before, Moment now) {
+        listed(before.engines.values().stream().map(e -> new Listing(e.id, e.location, e.kind, e.group, e.standing,
+                e.started)).toList(), true, now);
+        for (Engine e : sorted) {
+            Engine old = before.engines.get(e.id);
             e.slow.take(old.slow);
             e.failing.take(old.failing);
-            engines.put(e.id, e);
+            e.inHand = old.inHand;
+            e.reported = old.reported;
         }
-        sorted = new ArrayList<>(engines.values());
         before.ways.forEach((id, old) -> {
             Way w = ways.get(id);
             if (w != null && w.threads == old.threads) {
@@ -420,7 +410,6 @@
         failing.take(before.failing);
         load.take(before.load);
         judged = before.judged;
-        refreshed = null;
     }
 
     /** The list of engines, whole or changes only. Within one list, not being up overrules being up. */
@@ -438,7 +427,7 @@
             Deployment.Kind kind = kinds.get(line.kind());
             e.cores = kind == null ? 1 : kind.cores();
             e.whole = e.cores * THREADS_PER_CORE;
-            e.memoryPerThread = kind == null || waitsForMemory ? 0 : kind.memoryMb() / e.whole;
+            e.memoryPerThread = kind == null ? 0 : kind.memoryMb() / e.whole;
             e.standing = line.standing();
             if (e.started == null || restarted) {
                 e.started = line.started();
@@ -583,8 +572,7 @@
 
     /**
      * The threads that a command counts: its profile's, or as many as its part of the engine's memory goes
-     * with, where engines don't hold commands until memory is free. Guards against mixes that spill while
-     * threads are left. Harm: estimates that lie too high.
+     * with. Guards against mixes that spill while threads are left. Harm: estimates that lie too high.
      */
     private static double threads(Cmd cmd, Engine e) {
         double byMemory = e.memoryPerThread > 0 ? cmd.command.memoryMb() / e.memoryPerThread : 0;
@@ -608,10 +596,7 @@
         double fresh = e.inHand < 0 ? 0 : Math.pow(0.5, now.since(e.reported).over(shortestTarget));
         double inHand = e.inHand * fresh + load.sum / load.weight * e.cores * (1 - fresh);
         double others = Math.max(0, inHand - e.out.size()) * meanThreads;
-        // Where shares hold no whole command, reports are older still: there, if full engines let commands
-        // wait for memory and don't spill, it errs towards use.
-        double figure = waitsForMemory && e.whole / sharers < threads ? e.whole * NEAR : e.whole;
-        return e.threads + others + threads <= figure * e.health * warmth(e, now);
+        return e.threads + others + threads <= e.whole * e.health * warmth(e, now);
     }
 
     /** This dispatcher's even share of an engine's figure, as far as the engine is well and warm. */
--- a/src/main/java/cobaltseam/emulator/World.java
+++ b/src/main/java/cobaltseam/emulator/World.java
@@ -86,7 +86,7 @@
                         ms(limits.keyRestMs()), limits.furtherFree(), limits.furtherRatio(),
                         limits.furtherFree() == null ? null : ms(limits.furtherWindowMs())),
                 new Means(new Span(1000), limits.mostSends(), limits.cancels(), false, limits.comeBackMs() > 0,
-                        ms(limits.comeBackMs()), ms(limits.progressMs()), false));
+                        ms(limits.comeBackMs()), ms(limits.progressMs())));
     }
 
     /** Commands a second that keep every core busy, at the mean work of a command and engines of speed 1. */
--- a/src/main/java/cobaltseam/service/Commands.java
+++ b/src/main/java/cobaltseam/service/Commands.java
@@ -111,7 +111,7 @@
             return;
         }
         Dispatcher moved = new Dispatcher(next, seed);
-        moved.carryOver(dispatcher);
+        moved.carryOver(dispatcher, clock.now());
         if (sharers > 0) {
             moved.sharedOver(sharers);
         }
--- a/src/test/java/cobaltseam/deployment/DeploymentReaderTest.java
+++ b/src/test/java/cobaltseam/deployment/DeploymentReaderTest.java
@@ -40,7 +40,6 @@
         assertNull(d.rules().furtherWindow(), "no budget of further sends");
         assertNull(d.profiles().get(1).onKinds(), "any kind");
         assertFalse(d.means().comeBack());
-        assertFalse(d.means().waitsForMemory());
         assertEquals(1, d.means().mostSends());
     }
 
--- a/src/test/java/cobaltseam/dispatch/MoveTest.java
+++ b/src/test/java/cobaltseam/dispatch/MoveTest.java
@@ -14,7 +14,7 @@
 class MoveTest {
     private static final long WORK = 100_000;
     private static final Means NO_CANCEL = new Means(World.TICK, 5, false, false, false, Span.ZERO,
-            new Span(2_000_000), false);
+            new Span(2_000_000));
 
     private static World world(Means means, long... engines) {
         World w = new World(World.deployment(0, 2, World.RULES, means, World.profile("p", 1)), 7);
@@ -36,7 +36,7 @@
 
     @Test
     void whereATimeOutStopsWorkASlowSendIsCutForAnother() {
-        World w = world(new Means(World.TICK, 5, true, false, false, Span.ZERO, Span.ZERO, false), 1, 2);
+        World w = world(new Means(World.TICK, 5, true, false, false, Span.ZERO, Span.ZERO), 1, 2);
         w.take("p", WORK);
         assertTrue(w.sends.get(0).timeout().us() < 1_000_000, "timeout " + w.sends.get(0).timeout());
     }
@@ -79,7 +79,7 @@
             }
         }
         World carried = moved(before);
-        carried.dispatcher.carryOver(before.dispatcher);
+        carried.dispatcher.carryOver(before.dispatcher, before.now);
         int[] learnt = firstSeconds(carried);
         World afresh = moved(before);
         afresh.list(true, World.up(1), World.up(2), cold);
--- a/src/test/java/cobaltseam/dispatch/RulesTest.java
+++ b/src/test/java/cobaltseam/dispatch/RulesTest.java
@@ -153,7 +153,7 @@
             profiles.put(p.id(), p);
         }
         Means means = new Means(World.TICK, 4, seed % 3 != 0, true, seed % 5 != 0, new Span(500_000),
-                new Span(seed % 7 > 2 ? 200_000 : 0), seed % 2 == 0);
+                new Span(seed % 7 > 2 ? 200_000 : 0));
         // Some days: hundreds of dispatchers, tens of engines, a dispatcher that stands still, lost answers.
         dispatchers = seed % 4 == 0 ? 300 : 3;
         engines = seed % 4 < 2 ? 40 : 6;
--- a/src/test/java/cobaltseam/dispatch/World.java
+++ b/src/test/java/cobaltseam/dispatch/World.java
@@ -25,8 +25,7 @@
     static final Span TICK = new Span(5_000);
     static final Rules RULES = new Rules(0.3, new Span(15_000_000), 2, new Span(3_000_000), new Span(400_000),
             null, null, null);
-    static final Means MEANS = new Means(TICK, 4, true, false, true, new Span(500_000), new Span(200_000),
-            false);
+    static final Means MEANS = new Means(TICK, 4, true, false, true, new Span(500_000), new Span(200_000));
 
     final Dispatcher dispatcher;
     Moment now = new Moment(1_000_000);
