--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -383,11 +383,12 @@
      * Takes over what an instance under other settings learnt of the same engines, as a move to another
      * shape of deployment begins: the list, each engine's start, slowness, failures and last report, and of
      * profiles of the same name and width their usual latency, work and need of memory. Budgets, borrowing,
-     * shares and allowances of cold engines start afresh, as they depend on the settings.
+     * shares and allowances of cold engines start afresh, as they depend on the settings; over how many
+     * dispatchers engines are shared now, where fewer than all carry traffic, goes along.
      */
     public void carryOver(Dispatcher before, Moment now) {
-        listed(before.engines.values().stream().map(e -> new Listing(e.id, e.location, e.kind, e.group, e.standing,
-                e.started)).toList(), true, now);
+        listed(before.engines.values().stream().map(e -> new Listing(e.id, e.location, e.kind, e.group,
+                e.standing, e.started)).toList(), true, now);
         for (Engine e : sorted) {
             Engine old = before.engines.get(e.id);
             e.slow.take(old.slow);
@@ -410,6 +411,9 @@
         failing.take(before.failing);
         load.take(before.load);
         judged = before.judged;
+        if (before.sharers < before.dispatchers) {
+            sharedOver(before.sharers);
+        }
     }
 
     /** The list of engines, whole or changes only. Within one list, not being up overrules being up. */
@@ -740,9 +744,11 @@
     }
 
     private static void learnNeed(Way way, double needMb, double estimate) {
-        double news = needMb / estimate;
+        // Guards against an estimate near zero: no one answer moves the ratio beyond WORST either way.
+        double news = Math.max(1 / WORST, Math.min(WORST, needMb / estimate));
         double step = Math.max(NEWS / 4, 1.0 / ++way.needs) * Math.max(way.need, news);
-        way.need = Math.max(0, way.need + step * (news > way.need ? GRANT_QUANTILE : GRANT_QUANTILE - 1));
+        double moved = way.need + step * (news > way.need ? GRANT_QUANTILE : GRANT_QUANTILE - 1);
+        way.need = Math.max(0, Math.min(WORST, moved));
     }
 
     /** A send is over: its threads are free, and its latency tells how its engine does. */
--- a/src/main/java/cobaltseam/service/Commands.java
+++ b/src/main/java/cobaltseam/service/Commands.java
@@ -56,8 +56,6 @@
     private final long seed;
     /** Settings of decisions to move to once nothing is in hand; null if none wait. */
     private Deployment next;
-    /** Over how many dispatchers the engines were last said to be shared; 0 if never. */
-    private double sharers;
     private final Engines engines;
     private final Deadlines deadlines;
     private final Clock clock;
@@ -112,9 +110,6 @@
         }
         Dispatcher moved = new Dispatcher(next, seed);
         moved.carryOver(dispatcher, clock.now());
-        if (sharers > 0) {
-            moved.sharedOver(sharers);
-        }
         dispatcher = moved;
         known(next);
         next = null;
@@ -129,7 +124,6 @@
 
     /** The engines are shared over so many dispatchers from now on. */
     void sharedOver(double dispatchers) {
-        sharers = dispatchers;
         dispatcher.sharedOver(dispatchers);
         news = true;
     }
