--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -6,6 +6,7 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -13,12 +14,21 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import cobaltseam.dispatch.Deployment.Profile;
 import cobaltseam.dispatch.Deployment.Repeat;
 import cobaltseam.dispatch.Deployment.Scope;
 import cobaltseam.dispatch.Listing.Standing;
 import cobaltseam.dispatch.Outcome.Ending;
+import cobaltseam.dispatch.State.Cmd;
+import cobaltseam.dispatch.State.Engine;
+import cobaltseam.dispatch.State.Holder;
+import cobaltseam.dispatch.State.Line;
+import cobaltseam.dispatch.State.Ration;
+import cobaltseam.dispatch.State.Sent;
+import cobaltseam.dispatch.State.Way;
 
 /**
  * All decisions of one dispatcher. Callers hand a new command to {@link #place}, each outcome to
@@ -71,16 +81,14 @@
     private static final double COLD_CAUTION = 0.7;
 
     // ---- state that lives as long as the instance
-
-    private final int number, dispatchers, mostSends;
+    private int number, dispatchers;
     /** Dispatchers that the engines are shared over: all, or only those that carry traffic now. */
-    private double sharers;
-    private final boolean cancels, tellsProgress, priorities;
-    private final Span margin, shortestTarget, longestComeBack, warmWithin, noteEvery;
-    /** The last one: work a core of a cold engine may be sent by this dispatcher in {@code fallWindow}. */
-    private final double overShareWorth, coldFrom, coldWorkPerCore;
-    private final Span fallWindow, keyRest, furtherWindow;
-    private final Double furtherFree, furtherRatio;
+    private double sharers, overShareWorth;
+    private boolean cancels, tellsProgress, priorities;
+    private Span margin, shortestTarget, longestComeBack, noteEvery;
+    private Cold cold;
+    /** What rations further sends: the last one is of the settings now, each other of earlier ones. */
+    private final List<Ration> rations = new ArrayList<>();
     private final Map<ProfileId, Way> ways = new HashMap<>();
     private final Map<KindId, Deployment.Kind> kinds = new HashMap<>();
     private final Map<ShareId, Holder> holders = new HashMap<>();
@@ -112,30 +120,38 @@
     /** Work of the last commands taken, and their benefit for it. */
     private final double[] recentTime = new double[RECENT], recentDensity = new double[RECENT];
 
-    /** One profile: the few figures that decisions use, and what its commands have shown. */
-    private static final class Way {
-        int index, threads, priority;
-        double benefit, lateBenefit, stretch;
-        Span target, clientTimeout, remembered;
-        Repeat repeat;
-        Scope scope;
-        boolean inOrder;
-        Set<LocationId> locations;
-        Set<KindId> kinds;
-        /** Usual latency over the estimated work a thread; usual work of one command, on one thread. */
-        double usual = 1, usualWork;
-        long answers, known;
-        /** How much may be borrowed at an engine that was not heard lately, from 0 to 1. */
-        double borrowed;
-        /** Memory answers needed, over the estimate where there is one; how many told it. */
-        double need;
-        long needs;
-        /** How slow its answers are, of all engines; narrow profiles may be quick where wide ones wait. */
-        final Evidence slow = new Evidence();
+    /** What the rules ask of a command, fixed when it is taken; of two settings it keeps to both. */
+    record Bounds(Repeat repeat, Set<Scope> scopes, Span remembered, boolean inOrder, int mostSends,
+                  Span keyRest, Set<LocationId> locations, Set<KindId> kinds) {
+        Bounds and(Bounds o) {
+            Set<Scope> both = Stream.of(scopes, o.scopes).flatMap(Set::stream).collect(Collectors.toSet());
+            // Replayable, uniqued, non-replayable: the later, the stricter; remembered counts if uniqued.
+            Repeat stricter = repeat.compareTo(o.repeat) < 0 ? o.repeat : repeat;
+            Span kept = repeat == Repeat.REPLAYABLE ? o.remembered
+                    : o.repeat == Repeat.REPLAYABLE ? remembered : remembered.min(o.remembered);
+            return new Bounds(stricter, both, kept, inOrder || o.inOrder, Math.min(mostSends, o.mostSends),
+                    keyRest.max(o.keyRest), common(locations, o.locations), common(kinds, o.kinds));
+        }
+
+        private static <T> Set<T> common(Set<T> one, Set<T> other) {
+            return one == null ? other : other == null ? one
+                    : one.stream().filter(other::contains).collect(Collectors.toSet());
+        }
+
+        boolean nowhere() {
+            return locations != null && locations.isEmpty() || kinds != null && kinds.isEmpty();
+        }
+    }
+
+    /** How cold an engine starts, for how long, and how many times what it can do it may be sent here. */
+    record Cold(double from, Span within, double multiple) {
+        Cold and(Cold o) {
+            return new Cold(Math.min(from, o.from), within.max(o.within), Math.min(multiple, o.multiple));
+        }
     }
 
     /** What outcomes tell of one figure: their sum and number, both fading with time and with news. */
-    private static final class Evidence {
+    static final class Evidence {
         double sum, weight;
 
         void add(double news, double step) {
@@ -159,81 +175,16 @@
         }
     }
 
-    /** One holder of a share: what it may send before it counts as over its share. */
-    private static final class Holder {
-        double perSecond, portion, tokens;
-        Moment filled;
-    }
-
-    /** One engine, for as long as it is listed or holds sends. */
-    private static final class Engine {
-        EngineId id;
-        LocationId location;
-        KindId kind;
-        GroupId group;
-        Standing standing;
-        Moment started, drawn, heard, reported;
-        double cores, whole, memoryPerThread;
-        /** Threads this dispatcher counts there, of sends without outcome. */
-        double threads;
-        /** Commands in hand there, of all dispatchers, as last reported; below zero if never. */
-        double inHand = -1;
-        final List<Sent> out = new ArrayList<>();
-        /** Per profile: how much of the other dispatchers' budget may be borrowed, from 0 to 1. */
-        double[] borrowed;
-        /** Logarithm of slowness over all profiles, and share of failures; both fade with time. */
-        final Evidence slow = new Evidence(), failing = new Evidence();
-        /** How slow it is taken to be: a logarithm, over all profiles. */
-        double slowness;
-        double draw;
-        /** Work that it may be sent until the next draw while it is cold. */
-        double coldWork;
-        /** This moment's part of its budget, from its health and warmth. */
-        double health = 1;
-    }
-
-    /** One command, until its final answer and the outcome of its last send. */
-    private static final class Cmd {
-        Command command;
-        Way way;
-        long turn;
-        Moment takenAt, targetAt, giveUpAt;
-        boolean overShare, drop, late, over;
-        /** While held: its benefit for its threads' time, and that time. */
-        double density, threadTime;
-        int sends;
-        Sent out;
-        /** The first send that may have run: its engine's group and location, and when it left. */
-        Moment mayHaveRunSince;
-        GroupId group;
-        LocationId location;
-    }
-
-    /** One send without outcome. */
-    private static final class Sent {
-        Cmd cmd;
-        Engine engine;
-        int number;
-        Moment at;
-        /** When it is called off, if its progress may still change that. */
-        Moment cutAt;
-        Span expected;
-        double threads;
-        boolean slow;
-    }
-
-    /** Commands with one key, in the order taken, and until when the key rests. */
-    private static final class Line {
-        final Deque<Cmd> queue = new ArrayDeque<>();
-        Moment restUntil;
+    public Dispatcher(Deployment told, long seed) {
+        chance = new SplittableRandom(seed);
+        read(told);
+        sharers = dispatchers;
+        meanStay = shortestTarget;
     }
 
-    public Dispatcher(Deployment told, long seed) {
+    private void read(Deployment told) {
         number = Math.max(0, told.number());
         dispatchers = Math.max(1, told.dispatchers());
-        sharers = dispatchers;
-        chance = new SplittableRandom(seed);
-        mostSends = told.means().mostSends();
         cancels = told.means().cancels();
         noteEvery = told.means().noteEvery();
         tellsProgress = noteEvery.isPositive() && cancels;
@@ -241,19 +192,16 @@
         margin = told.means().tick().times(2);
         longestComeBack = told.means().comeBack() ? told.means().longestComeBack() : Span.ZERO;
         overShareWorth = told.overShareWorth();
-        coldFrom = told.rules().coldFrom();
-        warmWithin = told.rules().warmWithin();
-        fallWindow = told.rules().fallWindow();
-        coldWorkPerCore = told.rules().fallMultiple() * coldFrom * COLD_CAUTION * fallWindow.us()
-                / dispatchers;
-        keyRest = told.rules().keyRest();
-        furtherFree = told.rules().furtherFree();
-        furtherRatio = told.rules().furtherRatio();
-        furtherWindow = told.rules().furtherWindow();
+        Deployment.Rules rules = told.rules();
+        double multiple = rules.fallMultiple() * COLD_CAUTION / dispatchers;
+        cold = new Cold(rules.coldFrom(), rules.warmWithin(), multiple);
+        if (rules.furtherWindow() != null) {
+            rations.removeIf(r -> r.same(rules));
+            rations.add(new Ration(rules.furtherFree(), rules.furtherRatio(), rules.furtherWindow(), null));
+        }
         shortestTarget = told.profiles().stream().map(Profile::latencyTarget).min(Span::compareTo)
                 .orElse(margin);
-        meanStay = shortestTarget;
-        told.profiles().forEach(p -> ways.put(p.id(), way(p)));
+        told.profiles().forEach(p -> ways.put(p.id(), way(p, told)));
         told.kinds().forEach(k -> kinds.put(k.id(), k));
         double all = told.shares().stream().mapToDouble(Deployment.Share::perSecond).sum();
         for (Deployment.Share s : told.shares()) {
@@ -264,7 +212,7 @@
         }
     }
 
-    private Way way(Profile p) {
+    private Way way(Profile p, Deployment told) {
         Way w = new Way();
         w.index = ways.size();
         w.threads = Math.max(1, p.threads());
@@ -274,18 +222,15 @@
         w.clientTimeout = p.clientTimeout();
         w.stretch = p.stretch();
         w.usualWork = w.threads * w.target.us() / PATIENCE;
-        w.repeat = p.repeat();
-        w.scope = p.scope();
-        w.remembered = p.remembered();
-        w.inOrder = p.inOrder();
-        w.locations = p.locations() == null ? null : Set.copyOf(p.locations());
-        w.kinds = p.onKinds() == null ? null : Set.copyOf(p.onKinds());
+        w.bounds = new Bounds(p.repeat(), p.scope() == null ? Set.of() : Set.of(p.scope()), p.remembered(),
+                p.inOrder(), told.means().mostSends(), told.rules().keyRest(),
+                p.locations() == null ? null : Set.copyOf(p.locations()),
+                p.onKinds() == null ? null : Set.copyOf(p.onKinds()));
         w.priority = w.target.compareTo(shortestTarget) <= 0 ? 3 : 1;
         return w;
     }
 
     // ---- the three calls
-
     /** Where to send a command, new or held; a new one that has to wait is held from here on. */
     public Placement place(Command command, Moment now) {
         refresh(now);
@@ -315,8 +260,8 @@
         refreshed = null;
         Ending ending = outcome.ending();
         boolean unsure = ending == Ending.TIMED_OUT || ending == Ending.CUT || ending == Ending.CANCELLED;
-        if (unsure && cmd.way.inOrder && cmd.command.key() != null) {
-            lines.get(cmd.command.key()).restUntil = now.plus(keyRest);
+        if (unsure && cmd.bounds.inOrder && cmd.command.key() != null) {
+            lines.get(cmd.command.key()).restUntil = now.plus(cmd.bounds.keyRest);
         }
         if (outcome.over() || cmd.over || ending == Ending.ANSWERED) {
             end(cmd);
@@ -329,7 +274,7 @@
         }
         cmd.giveUpAt = giveUpAt(cmd);
         cmd.late = cmd.targetAt.before(now.plus(expected(cmd)));
-        if (cmd.sends >= mostSends || ending == Ending.NEVER_SENT || lost(cmd, now)) {
+        if (cmd.sends >= cmd.bounds.mostSends || ending == Ending.NEVER_SENT || lost(cmd, now)) {
             return giveUp(cmd);
         }
         hold(cmd);
@@ -365,7 +310,7 @@
         }
         boolean[] full = new boolean[ways.size()];
         for (Cmd cmd : held) {
-            boolean plain = cmd.sends == 0 && !cmd.way.inOrder;
+            boolean plain = cmd.sends == 0 && cmd.bounds == cmd.way.bounds && !cmd.bounds.inOrder;
             if (plain && full[cmd.way.index]) {
                 continue;
             }
@@ -378,42 +323,62 @@
     }
 
     // ---- news
-
     /**
-     * Takes over what an instance under other settings learnt of the same engines, as a move to another
-     * shape of deployment begins: the list, each engine's start, slowness, failures and last report, and of
-     * profiles of the same name and width their usual latency, work and need of memory. Budgets, borrowing,
-     * shares and allowances of cold engines start afresh, as they depend on the settings; over how many
-     * dispatchers engines are shared now, where fewer than all carry traffic, goes along.
+     * Moves to other settings at once, whatever is in hand. What was learnt of the engines stays, and of
+     * profiles of the same width; borrowing starts afresh. Of the settings now are: budgets, widths,
+     * benefits, shares. A command taken before keeps its latency target and client timeout, and keeps to
+     * the rules of both: the stricter repeat kind, fewest sends, longest rest of a key, the engines that
+     * both let it go to (with none it is given up at once), both budgets of further sends for the earlier
+     * one's window. An engine that is cold by either keeps to both until it is warm by both.
      */
-    public void carryOver(Dispatcher before, Moment now) {
-        listed(before.engines.values().stream().map(e -> new Listing(e.id, e.location, e.kind, e.group,
-                e.standing, e.started)).toList(), true, now);
-        for (Engine e : sorted) {
-            Engine old = before.engines.get(e.id);
-            e.slow.take(old.slow);
-            e.failing.take(old.failing);
-            e.inHand = old.inHand;
-            e.reported = old.reported;
-        }
-        before.ways.forEach((id, old) -> {
+    public void moveTo(Deployment told, Moment now) {
+        Map<ProfileId, Way> before = new HashMap<>(ways);
+        Map<ShareId, Holder> holdersBefore = new HashMap<>(holders);
+        double sharing = sharers < dispatchers ? sharers : 0;
+        rations.replaceAll(r -> r.until() != null ? r : r.until(now.plus(r.window())));
+        ways.clear();
+        kinds.clear();
+        holders.clear();
+        read(told);
+        holders.forEach((id, h) -> h.spent(holdersBefore.get(id)));
+        sharers = dispatchers;
+        sharedOver(sharing > 0 ? sharing : dispatchers);
+        Set<Way> used = new HashSet<>();
+        open.values().forEach(c -> used.add(c.way));
+        before.forEach((id, old) -> {
             Way w = ways.get(id);
-            if (w != null && w.threads == old.threads) {
-                w.usual = old.usual;
-                w.usualWork = old.usualWork;
-                w.known = old.known;
-                w.answers = old.answers;
-                w.need = old.need;
-                w.needs = old.needs;
+            if (w == null && used.contains(old)) {
+                old.gone = true;
+                old.index = ways.size();
+                ways.put(id, old);
+            } else if (w != null && w.threads == old.threads) {
+                w.learnt(old);
             }
         });
-        slow.take(before.slow);
-        failing.take(before.failing);
-        load.take(before.load);
-        judged = before.judged;
-        if (before.sharers < before.dispatchers) {
-            sharedOver(before.sharers);
+        for (Engine e : engines.values()) {
+            boolean wasCold = cold(e, now);
+            Cold both = e.cold.and(cold);
+            e.cold = cold;
+            e.cold = wasCold || cold(e, now) ? both : cold;
+            e.coldWork = Math.min(0, e.coldWork);
+            e.borrowed = new double[ways.size()];
+            sized(e);
         }
+        lines.values().forEach(l -> l.queue.clear());
+        held.clear();
+        open.values().stream().sorted(Comparator.comparingLong((Cmd c) -> c.turn)).forEach(c -> {
+            c.way = ways.get(c.command.profile());
+            Bounds both = c.bounds.and(c.way.bounds);
+            c.bounds = both.equals(c.way.bounds) ? c.way.bounds : both;
+            c.drop |= c.bounds.nowhere();
+            line(c);
+            if (c.out == null) {
+                hold(c);
+            } else if (!cancels && cuts.remove(c.out)) {
+                c.out.cutAt = null;
+            }
+        });
+        refreshed = null;
     }
 
     /** The list of engines, whole or changes only. Within one list, not being up overrules being up. */
@@ -428,13 +393,11 @@
             e.location = line.location();
             e.kind = line.kind();
             e.group = line.group();
-            Deployment.Kind kind = kinds.get(line.kind());
-            e.cores = kind == null ? 1 : kind.cores();
-            e.whole = e.cores * THREADS_PER_CORE;
-            e.memoryPerThread = kind == null ? 0 : kind.memoryMb() / e.whole;
+            sized(e);
             e.standing = line.standing();
             if (e.started == null || restarted) {
                 e.started = line.started();
+                e.cold = cold;
                 e.coldWork = 0;
                 e.drawn = now;
             }
@@ -450,6 +413,13 @@
         sorted = new ArrayList<>(engines.values());
     }
 
+    private void sized(Engine e) {
+        Deployment.Kind kind = kinds.get(e.kind);
+        e.cores = kind == null ? 1 : kind.cores();
+        e.whole = e.cores * THREADS_PER_CORE;
+        e.memoryPerThread = kind == null ? 0 : kind.memoryMb() / e.whole;
+    }
+
     /** Whether nothing is held, out, or counted anywhere. */
     boolean idle() {
         return open.isEmpty() && held.isEmpty() && sorted.stream().allMatch(e -> e.threads == 0);
@@ -527,7 +497,6 @@
     }
 
     // ---- the ordinary path: budgets, borrowing, the choice of engine
-
     /** The engine with most budget left per core that this command may go to now, or null. */
     private Engine choose(Cmd cmd, Moment now) {
         if (!myTurn(cmd, now) || cmd.sends > 0 && !furtherAllowed(now)) {
@@ -613,11 +582,11 @@
         if (!cold(e, now)) {
             return 1;
         }
-        return coldFrom + (1 - coldFrom) * Math.max(0, now.since(e.started).over(warmWithin));
+        return e.cold.from + (1 - e.cold.from) * Math.max(0, now.since(e.started).over(e.cold.within));
     }
 
     private boolean cold(Engine e, Moment now) {
-        return e.started.us() > 0 && now.since(e.started).compareTo(warmWithin) < 0;
+        return e.started.us() > 0 && now.since(e.started).compareTo(e.cold.within) < 0;
     }
 
     /**
@@ -627,8 +596,7 @@
      */
     private void draw(Engine e, Moment now) {
         if (cold(e, now)) {
-            double grown = 1 + (1 / coldFrom - 1) * now.since(e.started).over(warmWithin);
-            double come = e.cores * coldWorkPerCore * grown * now.since(e.drawn).over(fallWindow);
+            double come = e.cores * e.cold.multiple * warmth(e, now) * now.since(e.drawn).us();
             e.coldWork = Math.min(0, e.coldWork) + come;
         }
         e.draw = chance.nextDouble();
@@ -640,7 +608,6 @@
     }
 
     // ---- what a command may expect
-
     /** The work of a command: its estimate, or what its profile usually needs. */
     private static double work(Cmd cmd) {
         return cmd.command.work().isPositive() ? cmd.command.work().us() : cmd.way.usualWork;
@@ -692,8 +659,8 @@
         return timeout.min(longest(cmd, now));
     }
 
-    private boolean mayFollow(Cmd cmd) {
-        return cmd.sends < mostSends && cmd.way.repeat == Repeat.REPLAYABLE;
+    private static boolean mayFollow(Cmd cmd) {
+        return cmd.sends < cmd.bounds.mostSends && cmd.bounds.repeat == Repeat.REPLAYABLE;
     }
 
     /** How long a send can be of use. */
@@ -824,7 +791,6 @@
     }
 
     // ---- health
-
     private void slows(Engine e, Way way, double news) {
         e.slow.add(news, NEWS);
         way.slow.add(news, NEWS / 4);
@@ -899,15 +865,15 @@
     }
 
     // ---- overload
-
     /** Takes a command in: its latency target, and whether its holder is over its share. */
     private Cmd take(Command command, Moment now) {
         Cmd cmd = new Cmd();
         cmd.command = command;
         cmd.way = ways.get(command.profile());
-        if (cmd.way == null) {
+        if (cmd.way == null || cmd.way.gone) {
             throw new IllegalArgumentException("unknown profile " + command.profile().value());
         }
+        cmd.bounds = cmd.way.bounds;
         cmd.turn = arrivals++;
         cmd.takenAt = now;
         // An estimate beyond all that its client waits for is no guide to what is usual.
@@ -940,12 +906,16 @@
         }
         open.put(command.id(), cmd);
         hold(cmd);
-        if (cmd.way.inOrder && command.key() != null) {
-            lines.computeIfAbsent(command.key(), k -> new Line()).queue.addLast(cmd);
-        }
+        line(cmd);
         return cmd;
     }
 
+    private void line(Cmd cmd) {
+        if (cmd.bounds.inOrder && cmd.command.key() != null) {
+            lines.computeIfAbsent(cmd.command.key(), k -> new Line()).queue.addLast(cmd);
+        }
+    }
+
     /**
      * Whether a new command has too little benefit for its threads' time: as the pool slows, with the square
      * of its pace, a part goes from the least dense end of what came here lately. Guards against overload
@@ -1016,32 +986,32 @@
     }
 
     // ---- the rules
-
     /** Whether the rules let this command go to this engine now: list, placement, repeats, warmth. */
     private boolean allowed(Cmd cmd, Engine e, Moment now) {
-        Way w = cmd.way;
+        Bounds w = cmd.bounds;
         if (e.standing != Standing.UP || w.locations != null && !w.locations.contains(e.location)
                 || w.kinds != null && !w.kinds.contains(e.kind)) {
             return false;
         }
         if (cmd.mayHaveRunSince != null && w.repeat == Repeat.UNIQUED
-                && (w.scope == Scope.LOCATION && !e.location.equals(cmd.location)
-                || w.scope == Scope.GROUP && !e.group.equals(cmd.group))) {
+                && (w.scopes.contains(Scope.LOCATION) && !e.location.equals(cmd.location)
+                || w.scopes.contains(Scope.GROUP) && !e.group.equals(cmd.group))) {
             return false;
         }
-        return !cold(e, now) || e.coldWork > 0 && e.draw * Math.max(w.usualWork, work(cmd)) <= e.coldWork;
+        return !cold(e, now)
+                || e.coldWork > 0 && e.draw * Math.max(cmd.way.usualWork, work(cmd)) <= e.coldWork;
     }
 
     /** Whether what is known of a command's sends lets it be sent once more. */
     private boolean repeatable(Cmd cmd, Moment now) {
-        return cmd.mayHaveRunSince == null || cmd.way.repeat == Repeat.REPLAYABLE
-                || cmd.way.repeat == Repeat.UNIQUED
-                && now.since(cmd.mayHaveRunSince).compareTo(cmd.way.remembered) < 0;
+        return cmd.mayHaveRunSince == null || cmd.bounds.repeat == Repeat.REPLAYABLE
+                || cmd.bounds.repeat == Repeat.UNIQUED
+                && now.since(cmd.mayHaveRunSince).compareTo(cmd.bounds.remembered) < 0;
     }
 
     /** Whether a command with a key has its turn: first in line, and the key rested. */
     private boolean myTurn(Cmd cmd, Moment now) {
-        if (!cmd.way.inOrder || cmd.command.key() == null) {
+        if (!cmd.bounds.inOrder || cmd.command.key() == null) {
             return true;
         }
         Line line = lines.get(cmd.command.key());
@@ -1054,12 +1024,17 @@
 
     private boolean furtherAllowed(Moment now) {
         forget(now);
-        return furtherWindow == null || further.size() + 1 <= furtherFree + furtherRatio * taken.size();
+        return rations.stream().allMatch(r -> {
+            Moment from = now.minus(r.window());
+            return further.stream().filter(m -> !m.before(from)).count() + 1
+                    <= r.free() + r.ratio() * taken.stream().filter(from::before).count();
+        });
     }
 
-    /** Drops from both counts what lies outside the window; on its edge, whatever is stricter. */
+    /** Drops from both counts what lies outside every window; on its edge, whatever is stricter. */
     private void forget(Moment now) {
-        Moment from = furtherWindow == null ? now : now.minus(furtherWindow);
+        rations.removeIf(r -> r.until() != null && !now.before(r.until()));
+        Moment from = now.minus(rations.stream().map(Ration::window).max(Span::compareTo).orElse(Span.ZERO));
         while (!taken.isEmpty() && !from.before(taken.peekFirst())) {
             taken.removeFirst();
         }
@@ -1070,8 +1045,8 @@
 
     /** The final answer of a command that is given up: shed where a repeat is known to do no harm. */
     private Placement giveUp(Cmd cmd) {
-        boolean harmless = cmd.mayHaveRunSince == null || cmd.way.repeat == Repeat.REPLAYABLE
-                || cmd.way.repeat == Repeat.UNIQUED && cmd.way.scope == Scope.ALL;
+        boolean harmless = cmd.mayHaveRunSince == null || cmd.bounds.repeat == Repeat.REPLAYABLE
+                || cmd.bounds.repeat == Repeat.UNIQUED && cmd.bounds.scopes.equals(Set.of(Scope.ALL));
         end(cmd);
         return harmless ? Placement.shed(longestComeBack) : Placement.fail();
     }
@@ -1081,7 +1056,7 @@
         cmd.over = true;
         held.remove(cmd);
         open.remove(cmd.command.id());
-        if (cmd.way.inOrder && cmd.command.key() != null) {
+        if (cmd.bounds.inOrder && cmd.command.key() != null) {
             Line line = lines.get(cmd.command.key());
             line.queue.remove(cmd);
             if (line.queue.isEmpty()) {
--- a/src/main/java/cobaltseam/service/Commands.java
+++ b/src/main/java/cobaltseam/service/Commands.java
@@ -52,10 +52,7 @@
         Send out;
     }
 
-    private Dispatcher dispatcher;
-    private final long seed;
-    /** Settings of decisions to move to once nothing is in hand; null if none wait. */
-    private Deployment next;
+    private final Dispatcher dispatcher;
     private final Engines engines;
     private final Deadlines deadlines;
     private final Clock clock;
@@ -72,7 +69,6 @@
 
     Commands(Deployment deployment, long seed, Engines engines, Deadlines deadlines, Clock clock,
              Counters counters) {
-        this.seed = seed;
         dispatcher = new Dispatcher(deployment, seed);
         known(deployment);
         this.engines = engines;
@@ -90,33 +86,21 @@
     }
 
     /**
-     * Moves to other settings of decisions: at once where nothing is in hand, else once the last command
-     * has its final answer, so that no command is decided under two settings. What the module learnt of
-     * the engines goes along ({@link Dispatcher#carryOver}).
+     * Moves to other settings of decisions at once, between two turns of the loop, whatever is in hand:
+     * {@link Dispatcher#moveTo} says which of them then count for what.
      */
     void moveTo(Deployment deployment) {
-        next = deployment;
-        moveIfIdle();
-    }
-
-    /** Whether settings of decisions wait for a moment with nothing in hand. */
-    boolean moving() {
-        return next != null;
-    }
-
-    private void moveIfIdle() {
-        if (next == null || !byId.isEmpty()) {
-            return;
-        }
-        Dispatcher moved = new Dispatcher(next, seed);
-        moved.carryOver(dispatcher, clock.now());
-        dispatcher = moved;
-        known(next);
-        next = null;
+        dispatcher.moveTo(deployment, clock.now());
+        known(deployment);
         counters.add(Count.CONFIGURATIONS_MOVED);
         news = true;
     }
 
+    /** Commands that have no final answer yet. */
+    int inHand() {
+        return byId.size();
+    }
+
     /** Before each send it is asked whether this dispatcher still may. */
     void sendsWhile(BooleanSupplier allowed) {
         maySend = allowed;
@@ -242,7 +226,6 @@
     private void forget(InHand c) {
         byId.remove(c.id);
         slots.free(c.key);
-        moveIfIdle();
     }
 
     /** Follows the module, where there is news for it, until it names a span to wait; wakes up after that. */
--- a/src/main/java/cobaltseam/service/Service.java
+++ b/src/main/java/cobaltseam/service/Service.java
@@ -24,6 +24,7 @@
 import org.apache.mina.transport.socket.SocketSessionConfig;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /** One dispatcher on sockets: its start, the loop of the thread that owns all state, and its stop. */
 public final class Service {
@@ -160,7 +161,12 @@
 
     /** SIGHUP: reads the configuration anew; one that can't be used changes nothing. */
     void readAnewOnHangUp(Map<String, String> environment) {
-        Signal.handle(new Signal(HANG_UP), signal -> readAnew(environment));
+        SignalHandler before = Signal.handle(new Signal(HANG_UP), signal -> readAnew(environment));
+        if (before == SignalHandler.SIG_IGN) {
+            // As under nohup: the machine then installs no handler, and SIGHUP would do nothing, unsaid.
+            LOG.log(Level.WARNING, "SIGHUP was ignored at the start and stays so: the configuration is never read anew",
+                    Field.event("configuration.deaf"));
+        }
     }
 
     /** One reading at a time, or an older one could overtake a newer. */
@@ -187,9 +193,8 @@
         }
         if (!anew.deployment().equals(told.deployment())) {
             commands.moveTo(anew.deployment());
-            LOG.log(Level.INFO, "the settings of decisions move {0}, with what was learnt of the engines",
-                    Field.of("when", commands.moving() ? "once nothing is in hand" : "now"),
-                    Field.event("configuration.moved"));
+            LOG.log(Level.INFO, "other settings of decisions act from now on, with {0} commands in hand",
+                    Field.of("inHand", commands.inHand()), Field.event("configuration.moved"));
         }
         counters.add(Count.CONFIGURATIONS_READ);
         told = anew;
--- a/src/test/java/cobaltseam/service/ServiceTest.java
+++ b/src/test/java/cobaltseam/service/ServiceTest.java
@@ -786,6 +786,60 @@
         }
     }
 
+    /** Settings that wait for a moment with nothing in hand never act on a busy dispatcher. */
+    @Test
+    void settingsActWhileCommandsAreOutAndHeld() throws Exception {
+        Peer engine = new Peer(true);
+        Peer bus = start(engine);
+        bus.next("from 7");
+        Path file = Files.createTempFile("configuration", ".json");
+        try {
+            service.readAnewOnHangUp(Map.of("GW_CONFIG", file.toString()));
+            // First to targets so far away that a slow machine sheds nothing.
+            String as = configuration(bus.address(), SOCKETS, IDLE_MS, target(1, engine.address(), "in_service"))
+                    .replace("500000,\"hard_limit_us\":3000000", "30000000,\"hard_limit_us\":60000000");
+            Client watch = new Client();
+            Files.writeString(file, as);
+            Signal.raise(new Signal("HUP"));
+            await(watch, "configurations_moved|1");
+            List<Client> busy = new ArrayList<>();
+            List<Message> pulls = new ArrayList<>();
+            // Eight threads: all of them out, and two commands held.
+            for (int i = 1; i <= 10; i++) {
+                Client client = new Client();
+                client.query(client.out, command("once", i, 60_000).replace("work=100", "work=5000"));
+                busy.add(client);
+                if (i <= 8) {
+                    pulls.add(engine.next("PULL"));
+                }
+            }
+            await(watch, "commands_taken|10");
+            Files.writeString(file, as.replace("\"name\":\"once\"", "\"name\":\"twice\""));
+            Signal.raise(new Signal("HUP"));
+            await(watch, "configurations_moved|2");
+            assertEquals(List.of("error 42"), watch.ask(command("once", 20, 3000)), "the new settings know it no more");
+            for (Message pull : pulls) {
+                pull.answer(pull.id(), "200", "pages=1", "");
+            }
+            for (int i = 0; i < 2; i++) {
+                Message pull = engine.next("PULL");
+                pull.answer(pull.id(), "200", "pages=1", "");
+            }
+            for (Client client : busy) {
+                assertEquals(List.of("SELECT 0"), client.told(), "taken before the move, answered after it");
+            }
+            Files.writeString(file, as);
+            Signal.raise(new Signal("HUP"));
+            await(watch, "configurations_moved|3");
+            watch.query(watch.out, command("once", 21, 3000));
+            Message pull = engine.next("PULL");
+            pull.answer(pull.id(), "200", "pages=1", "");
+            assertEquals(List.of("SELECT 0"), watch.told());
+        } finally {
+            Files.delete(file);
+        }
+    }
+
     @Test
     void toldToStopItServesOnUntilNothingIsOpen() throws Exception {
         Peer engine = new Peer(true);
--- a/src/test/java/cobaltseam/standin/DispatcherProcess.java
+++ b/src/test/java/cobaltseam/standin/DispatcherProcess.java
@@ -52,7 +52,17 @@
 
     /** Starts it, and returns at once. */
     public void start() throws IOException {
-        List<String> line = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+        start(List.of());
+    }
+
+    /** Starts it as one whose parent ignores SIGHUP does, by nohup for instance. */
+    public void startDeaf() throws IOException {
+        start(List.of("sh", "-c", "trap '' HUP; exec \"$@\"", "sh"));
+    }
+
+    private void start(List<String> before) throws IOException {
+        List<String> line = new ArrayList<>(before);
+        line.addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-cp", System.getProperty("java.class.path"),
                 Main.class.getName(), "serve"));
         if (own != null) {
@@ -144,6 +154,11 @@
         return process.toHandle().info().totalCpuDuration().orElseThrow().toNanos() / 1e6;
     }
 
+    /** The platform's configuration from now on; it counts from the next SIGHUP or start. */
+    public void configured(String text) throws IOException {
+        Files.writeString(folder.resolve("config.json"), text);
+    }
+
     /** The own file from now on; it counts from the next SIGHUP or start. */
     public void own(String text) throws IOException {
         Files.writeString(own, text);
