--- a/src/main/java/cobaltseam/cli/Cobaltseam.java
+++ b/src/main/java/cobaltseam/cli/Cobaltseam.java
@@ -54,7 +54,8 @@
     /** Runs a command; its exit code is 0, 1 where its input is bad, or 2 where it is not used as it is meant. */
     public static int run(String... args) {
         CommandLine line = new CommandLine(new Cobaltseam());
-        emulator().ifPresent(e -> line.addSubcommand("emulate", e));
+        lab("emulator.Emulate").ifPresent(e -> line.addSubcommand("emulate", e));
+        lab("fleet.Fleet").ifPresent(f -> line.addSubcommand("fleet", f));
         line.setExecutionStrategy(new CommandLine.RunLast());
         line.setExecutionExceptionHandler((e, of, parsed) -> {
             if (e instanceof BadInput || e instanceof IOException) {
@@ -71,10 +72,10 @@
         return line.execute(args);
     }
 
-    /** The emulator's commands, where this is the jar that has them. */
-    private static Optional<Object> emulator() {
+    /** The commands of the lab, where this is the jar that has them. */
+    private static Optional<Object> lab(String name) {
         try {
-            return Optional.of(Class.forName("cobaltseam.emulator.Emulate").getDeclaredConstructor().newInstance());
+            return Optional.of(Class.forName("cobaltseam." + name).getDeclaredConstructor().newInstance());
         } catch (ReflectiveOperationException e) {
             return Optional.empty();
         }
@@ -148,6 +149,10 @@
                 out.println("mastership: " + (setup.hall() == null ? "off" : "on, adverts at "
                         + setup.hall().listen() + ", " + setup.hall().peers().size() + " peers, seals "
                         + (setup.hall().sealing() == null ? "off" : "on, " + setup.hall().sealing().keys())));
+                out.println("membership: " + (setup.fleet() == null ? "off" : "on, fleet " + setup.fleet().fleet() + ", heard at "
+                        + setup.fleet().listen() + ", " + setup.fleet().seeds().size() + " seeds, founders "
+                        + setup.fleet().founders() + ", period " + setup.fleet().period().us() / 1000 + " ms, seals "
+                        + (setup.fleet().sealing() == null ? "off" : "on, " + setup.fleet().sealing().keys())));
                 if (setup.hall() != null) {
                     setup.hall().seats().forEach(s -> out.println("  virtual router " + s.terms().router() + ": priority "
                             + s.terms().priority() + ", interval " + s.terms().interval().us() / 1000
--- a/src/main/java/cobaltseam/cli/Vrrp.java
+++ b/src/main/java/cobaltseam/cli/Vrrp.java
@@ -28,7 +28,7 @@
 import cobaltseam.vrrp.AdvertCodec;
 import cobaltseam.vrrp.Reading;
 import cobaltseam.vrrp.Reading.Covers;
-import cobaltseam.vrrp.Seal;
+import cobaltseam.seal.Seal;
 import com.fasterxml.jackson.core.JacksonException;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
--- a/src/main/java/cobaltseam/emulator/Emulate.java
+++ b/src/main/java/cobaltseam/emulator/Emulate.java
@@ -266,10 +266,10 @@
         public Integer call() {
             World world = common.world();
             List<Fault> faults = common.drawn(world, common.seed);
-            Shrink shrink = new Shrink(f -> {
+            Shrink<Fault> shrink = new Shrink<>(f -> {
                 Simulation.Result r = new Simulation(world, policies(policy), f, common.seconds, common.seed).run();
                 return under != null ? r.tally().goodput() < under : r.brokenRules() > 0;
-            });
+            }, Fault::simpler);
             PrintWriter out = spec.commandLine().getOut();
             Simulation.Result whole = new Simulation(world, policies(policy), faults, common.seconds, common.seed).run();
             if (under != null ? whole.tally().goodput() >= under : whole.brokenRules() == 0) {
--- a/src/main/java/cobaltseam/emulator/Fault.java
+++ b/src/main/java/cobaltseam/emulator/Fault.java
@@ -10,6 +10,8 @@
  * drawn by the script's seed; {@code size} is a factor or a share, by kind; {@code who} is a holder or a dispatcher's number.
  */
 public record Fault(Kind kind, double atS, double lengthS, List<Integer> engines, double size, int who) {
+    private static final double SHORTEST_S = 0.1;
+
     /** What goes wrong. */
     public enum Kind {
         /** Engines work this many times slower. */
@@ -48,6 +50,20 @@
         engines = List.copyOf(engines);
     }
 
+    /** The next simpler forms: one engine fewer, or half as long. */
+    List<Fault> simpler() {
+        List<Fault> forms = new ArrayList<>();
+        for (int e = 0; e < engines.size() && engines.size() > 1; e++) {
+            List<Integer> fewer = new ArrayList<>(engines);
+            fewer.remove(e);
+            forms.add(new Fault(kind, atS, lengthS, fewer, size, who));
+        }
+        if (lengthS / 2 >= SHORTEST_S) {
+            forms.add(new Fault(kind, atS, lengthS / 2, engines, size, who));
+        }
+        return forms;
+    }
+
     /** Faults by chance, overlapping, some on whole locations at once; the same ones from the same seed. */
     public static List<Fault> drawn(World world, double seconds, int number, long seed) {
         SplittableRandom chance = new SplittableRandom(seed);
--- /dev/null
+++ b/src/main/java/cobaltseam/fleet/Happening.java
@@ -0,0 +1,13 @@
+package cobaltseam.fleet;
+
+import java.util.List;
+
+/**
+ * One line of a process's own record: what it held from a moment on.
+ *
+ * @param process its number in the fleet; the birth tells which process of that number
+ * @param view the view's id, or null where it holds none
+ * @param members name and birth of each
+ */
+public record Happening(double atS, int process, long birth, String view, List<String> members) {
+}
--- /dev/null
+++ b/src/main/java/cobaltseam/fleet/RealFleet.java
@@ -0,0 +1,401 @@
+package cobaltseam.fleet;
+
+import java.io.BufferedReader;
+import java.io.BufferedWriter;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+import cobaltseam.Main;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+/**
+ * A fleet of real processes of the program on loopback, under a script of troubles: {@link Relays} rule the datagrams, signals
+ * rule the processes. What each says of itself in its JSON log is kept in its folder and read as {@link Happening}s.
+ */
+public final class RealFleet implements AutoCloseable {
+    /** What a fleet is made of. */
+    public record Plan(int processes, int periodMs, double patience, int founders, String more) {
+        public static Plan of(int processes) {
+            return new Plan(processes, 200, 3, Math.min(3, processes), "");
+        }
+    }
+
+    private static final class One {
+        Process process;
+        /** The birth that it last told, and the view; zero and null before. */
+        long birth;
+        String view;
+        List<String> members = List.of();
+        String standing = "none";
+        int starts;
+        boolean stopped;
+        final Map<String, Integer> events = new HashMap<>();
+    }
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int SLICE_MS = 100;
+    private final Plan plan;
+    private final List<Trouble> troubles;
+    private final Path folder;
+    private final long since = System.nanoTime();
+    private final Relays relays;
+    private final One[] all;
+    private final int[] ports;
+    private final List<Happening> happenings = new ArrayList<>();
+    private final List<String> acts = new ArrayList<>();
+
+    public RealFleet(Plan plan, List<Trouble> troubles, long seed, Path folder) throws IOException {
+        this.plan = plan;
+        this.troubles = List.copyOf(troubles);
+        this.folder = folder;
+        relays = new Relays(plan.processes, this.troubles, seed, since);
+        all = new One[plan.processes];
+        ports = new int[plan.processes];
+        for (int i = 0; i < all.length; i++) {
+            all[i] = new One();
+            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+                ports[i] = free.getLocalPort();
+            }
+        }
+        for (int i = 0; i < all.length; i++) {
+            configure(i);
+        }
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
+    public static String name(int i) {
+        return String.format("n%03d", i);
+    }
+
+    private void configure(int i) throws IOException {
+        Path own = Files.createDirectories(folder.resolve(name(i)));
+        Files.writeString(own.resolve("config.json"), """
+                {"name":"%s","listen":"127.0.0.1:%d","seed":"%016x","limits":{"sockets":128,"memory_mb":64},
+                "bus":"127.0.0.1:1","known":{"offset":1,"batch":[{"offset":1,"topology":{"rev":1,"all":true,"targets":[
+                {"uid":"s-00000001","endpoint":"127.0.0.1:1","az":"z","model":"m","state":"in_service","boot_ms":0}]}}]},
+                "settings":{"balancers":%d,"position":%d,"tick_us":5000,
+                "classes":[{"name":"look","aim_us":500000,"hard_limit_us":3000000,"repeat":"read_like","late_value":0.5}],
+                "projects":[{"name":"acme","quota_rps":1000}],"machine_types":["m"],"family_info":{"cores_by_kind":[4]},
+                "rules":{"cold_from":0.3},"limits":{"most_tries":3,"cancel":true,"retry_after":true,"max_retry_after_us":500000,
+                "connect_timeout_us":250000,"conn_idle_us":30000000,"streams_per_conn":32}}}
+                """.formatted(name(i), ports[i], 0x8c1f30d27a5be964L + i, plan.processes, i));
+        String seeds = IntStream.range(0, Math.min(8, plan.processes)).mapToObj(s -> "\"" + text(relays.seenAt(s)) + "\"")
+                .collect(Collectors.joining(", "));
+        String founders = IntStream.range(0, plan.founders).mapToObj(f -> "\"" + name(f) + "\"").collect(Collectors.joining(", "));
+        Files.writeString(own.resolve("cobaltseam.toml"), """
+                [logging]
+                form = "json"
+                [membership]
+                fleet = "rig"
+                listen = "%s"
+                advertise = "%s"
+                seeds = [%s]
+                founders = [%s]
+                period_ms = %d
+                patience = %s
+                %s
+                """.formatted(text(relays.listensAt(i)), text(relays.seenAt(i)), seeds, founders, plan.periodMs, plan.patience, plan.more));
+    }
+
+    // ---- processes
+
+    public double now() {
+        return (System.nanoTime() - since) / 1e9;
+    }
+
+    private synchronized void acted(String what, int i) {
+        acts.add(String.format(java.util.Locale.ROOT, "%.3f %s %s", now(), what, name(i)));
+    }
+
+    public void start(int i) throws IOException {
+        One one = all[i];
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto", "-Xms16m", "-Xmx64m", "-Xss256k", "-cp",
+                System.getProperty("java.class.path"), Main.class.getName(), "serve", "--config",
+                folder.resolve(name(i)).resolve("cobaltseam.toml").toString()).redirectErrorStream(true);
+        builder.environment().put("GW_CONFIG", folder.resolve(name(i)).resolve("config.json").toString());
+        builder.environment().keySet().removeAll(List.of("GW_NAME", "GW_LISTEN", "COBALTSEAM_CONFIG"));
+        synchronized (this) {
+            one.birth = 0;
+            one.view = null;
+            one.members = List.of();
+            one.standing = "none";
+            one.starts++;
+            one.stopped = false;
+        }
+        Process process = builder.start();
+        one.process = process;
+        acted("start", i);
+        int start = one.starts;
+        Path file = folder.resolve(name(i)).resolve("log-" + start + ".jsonl");
+        Thread reader = new Thread(() -> read(i, start, process, file), "log");
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    private void read(int i, int start, Process process, Path file) {
+        try (BufferedReader lines = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+             BufferedWriter keep = Files.newBufferedWriter(file)) {
+            for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+                keep.write(line);
+                keep.newLine();
+                if (line.startsWith("{")) {
+                    heard(i, start, JSON.readTree(line));
+                }
+            }
+        } catch (IOException e) {
+            // Killed in the middle of a line: its log ends there.
+            acted("log ends", i);
+        }
+    }
+
+    private synchronized void heard(int i, int start, JsonNode line) {
+        One one = all[i];
+        String event = line.path("event").asText();
+        one.events.merge(event, 1, Integer::sum);
+        boolean former = start != one.starts;
+        if (event.equals("membership.opened") && !former) {
+            one.birth = line.path("birth").asLong();
+        } else if (event.equals("membership.view")) {
+            String view = line.path("view").asText();
+            long birth = line.path("birth").asLong();
+            List<String> members = Arrays.stream(line.path("members").asText().split(" ")).filter(m -> !m.isEmpty()).toList();
+            happenings.add(new Happening(now(), i, birth, view.equals("none") ? null : view, members));
+            if (!former) {
+                one.birth = birth;
+                one.view = view.equals("none") ? null : view;
+                one.members = members;
+            }
+        } else if (event.equals("membership.standing") && !former) {
+            one.standing = line.path("standing").asText();
+        }
+        notifyAll();
+    }
+
+    public void startAll() throws IOException {
+        for (int i = 0; i < all.length; i++) {
+            start(i);
+        }
+    }
+
+    private void signal(int i, String name) throws IOException, InterruptedException {
+        Process process = all[i].process;
+        if (process != null && process.isAlive()) {
+            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+        }
+    }
+
+    public void kill(int i) throws InterruptedException {
+        acted("kill", i);
+        all[i].process.destroyForcibly().waitFor();
+    }
+
+    /** SIGTERM. */
+    public void end(int i) throws InterruptedException, IOException {
+        acted("term", i);
+        signal(i, "TERM");
+    }
+
+    public void stop(int i) throws IOException, InterruptedException {
+        acted("stop", i);
+        signal(i, "STOP");
+        all[i].stopped = true;
+    }
+
+    public void go(int i) throws IOException, InterruptedException {
+        signal(i, "CONT");
+        all[i].stopped = false;
+        acted("cont", i);
+    }
+
+    public boolean isAlive(int i) {
+        return all[i].process != null && all[i].process.isAlive();
+    }
+
+    // ---- what is asked
+
+    /** Where a process takes clients. */
+    public int port(int i) {
+        return ports[i];
+    }
+
+    public synchronized List<Happening> happenings() {
+        return List.copyOf(happenings);
+    }
+
+    public synchronized String standing(int i) {
+        return all[i].standing;
+    }
+
+    public synchronized String view(int i) {
+        return all[i].view;
+    }
+
+    public synchronized List<String> members(int i) {
+        return all[i].members;
+    }
+
+    /** How often a process logged an event, over all its lives. */
+    public synchronized int events(int i, String event) {
+        return all[i].events.getOrDefault(event, 0);
+    }
+
+    public synchronized Set<Checker.Live> live() {
+        Set<Checker.Live> live = new LinkedHashSet<>();
+        for (int i = 0; i < all.length; i++) {
+            if (isAlive(i)) {
+                live.add(new Checker.Live(i, name(i), all[i].birth));
+            }
+        }
+        return live;
+    }
+
+    public synchronized boolean isSettled() {
+        Set<Checker.Live> live = live();
+        Set<String> alive = live.stream().map(l -> l.name() + "#" + l.birth()).collect(Collectors.toCollection(TreeSet::new));
+        Set<String> views = new TreeSet<>();
+        for (Checker.Live l : live) {
+            if (all[l.process()].view == null || !new TreeSet<>(all[l.process()].members).equals(alive)) {
+                return false;
+            }
+            views.add(all[l.process()].view);
+        }
+        return views.size() == 1;
+    }
+
+    /** Waits until all that live hold one view of just these; the seconds since the call, or below zero if they do not. */
+    public double awaitSettled(double withinS) throws InterruptedException {
+        long from = System.nanoTime();
+        synchronized (this) {
+            while (!isSettled()) {
+                long left = (long) (withinS * 1000) - (System.nanoTime() - from) / 1_000_000;
+                if (left <= 0) {
+                    return -1;
+                }
+                wait(Math.min(left, 50));
+            }
+        }
+        return (System.nanoTime() - from) / 1e9;
+    }
+
+    public double processorMs(int i) {
+        return all[i].process.toHandle().info().totalCpuDuration().orElseThrow().toNanos() / 1e6;
+    }
+
+    public long datagrams() {
+        return relays.passed();
+    }
+
+    /** Says bytes to a process in nobody's name. */
+    public void say(int to, byte[] bytes) throws IOException {
+        relays.say(to, bytes);
+    }
+
+    // ---- the script
+
+    /** Plays what the script does to processes; datagrams follow it by themselves. Returns when all of it is over. */
+    public void play() throws IOException, InterruptedException {
+        double end = troubles.stream().mapToDouble(Trouble::endS).max().orElse(0);
+        Set<String> done = new LinkedHashSet<>();
+        while (now() < end + 0.01) {
+            for (int t = 0; t < troubles.size(); t++) {
+                Trouble trouble = troubles.get(t);
+                for (int p : trouble.who()) {
+                    follow(trouble, p, t + "/" + p, done);
+                }
+            }
+            TimeUnit.MILLISECONDS.sleep(5);
+        }
+        for (int i = 0; i < all.length; i++) {
+            if (all[i].stopped) {
+                go(i);
+            }
+        }
+        try (BufferedWriter to = Files.newBufferedWriter(folder.resolve("acts.txt"))) {
+            synchronized (this) {
+                for (String act : acts) {
+                    to.write(act + "\n");
+                }
+            }
+        }
+    }
+
+    private void follow(Trouble t, int p, String key, Set<String> done) throws IOException, InterruptedException {
+        boolean during = now() >= t.atS() && now() < t.endS();
+        boolean over = now() >= t.endS();
+        switch (t.kind()) {
+            case PAUSE -> {
+                if (during && done.add(key + "stop")) {
+                    stop(p);
+                } else if (over && done.add(key + "go") && all[p].stopped) {
+                    go(p);
+                }
+            }
+            case SLOW -> {
+                boolean rests = during && now() * 1000 % SLICE_MS > SLICE_MS * t.size();
+                if (during && rests != all[p].stopped) {
+                    if (rests) {
+                        stop(p);
+                    } else {
+                        go(p);
+                    }
+                } else if (over && done.add(key + "go") && all[p].stopped) {
+                    go(p);
+                }
+            }
+            case KILL, GONE, TERM -> {
+                if (during && done.add(key + "end") && isAlive(p)) {
+                    if (t.kind() == Trouble.Kind.TERM) {
+                        end(p);
+                    } else {
+                        kill(p);
+                    }
+                } else if (over && t.kind() != Trouble.Kind.GONE && done.contains(key + "end") && done.add(key + "start")
+                        && !goneForGood(p)) {
+                    if (isAlive(p) && t.kind() == Trouble.Kind.TERM) {
+                        all[p].process.destroyForcibly().waitFor();
+                    }
+                    if (!isAlive(p)) {
+                        start(p);
+                    }
+                }
+            }
+            default -> { }
+        }
+    }
+
+    private boolean goneForGood(int p) {
+        return troubles.stream().anyMatch(t -> t.kind() == Trouble.Kind.GONE && t.who().contains(p) && t.atS() <= now());
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (One one : all) {
+            if (one.process != null) {
+                one.process.destroyForcibly();
+            }
+        }
+        relays.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltseam/fleet/VirtualFleet.java
@@ -0,0 +1,375 @@
+package cobaltseam.fleet;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+import cobaltseam.dispatch.Moment;
+import cobaltseam.dispatch.Span;
+import cobaltseam.membership.Act;
+import cobaltseam.membership.Birth;
+import cobaltseam.membership.Member;
+import cobaltseam.membership.MemberName;
+import cobaltseam.membership.Membership;
+import cobaltseam.membership.Message;
+import cobaltseam.membership.Standing;
+import cobaltseam.membership.Terms;
+import cobaltseam.membership.View;
+
+/** A fleet of the real membership in virtual time, under a script of troubles. One seed, one history. */
+public final class VirtualFleet {
+    /** What a fleet is made of. */
+    public record Plan(int processes, double periodS, double patience, int founders, double startWithinS, double longestSendS) {
+        public static Plan of(int processes) {
+            return new Plan(processes, 1, 2, Math.min(3, processes), 1, 5);
+        }
+    }
+
+    private record Event(double at, long turn, int process, long life, Message message) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event other) {
+            int order = Double.compare(at, other.at);
+            return order != 0 ? order : Long.compare(turn, other.turn);
+        }
+    }
+
+    private static final class Process {
+        Membership membership;
+        /** Which process of this number it is; events of a former one are void. */
+        long life;
+        boolean alive, started;
+        double wake = Double.MAX_VALUE;
+        /** What came while it stood still. */
+        final Deque<Message> unread = new ArrayDeque<>();
+    }
+
+    private static final int PORT = 7946;
+    private static final int MOST_UNREAD = 4096;
+    private final Plan plan;
+    private final List<Trouble> troubles;
+    private final SplittableRandom chance;
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final Process[] processes;
+    private final List<InetSocketAddress> addresses = new ArrayList<>();
+    private final Map<InetSocketAddress, Integer> byAddress = new HashMap<>();
+    private final List<Happening> happenings = new ArrayList<>();
+    private final Map<String, Integer> notes = new HashMap<>();
+    private double now;
+    private long turns;
+    private long births;
+    private long sent;
+    /** The newest view of each line, by whoever came to hold it first. */
+    private final Map<Long, View> newest = new LinkedHashMap<>();
+    private boolean lostMajority;
+
+    public VirtualFleet(Plan plan, List<Trouble> troubles, long seed) {
+        this.plan = plan;
+        this.troubles = troubles;
+        chance = new SplittableRandom(seed);
+        processes = new Process[plan.processes];
+        for (int i = 0; i < processes.length; i++) {
+            processes[i] = new Process();
+            addresses.add(address(i));
+            byAddress.put(addresses.get(i), i);
+            at(chance.nextDouble() * plan.startWithinS, i, 0, null);
+        }
+        for (Trouble t : troubles) {
+            for (int p : t.who()) {
+                switch (t.kind()) {
+                    case KILL, TERM, GONE, PAUSE, SLOW -> {
+                        at(t.atS(), p, -1, null);
+                        at(t.endS(), p, -1, null);
+                    }
+                    default -> { }
+                }
+            }
+        }
+    }
+
+    private static InetSocketAddress address(int i) {
+        try {
+            return new InetSocketAddress(InetAddress.getByAddress(new byte[] {10, (byte) (i >> 16), (byte) (i >> 8), (byte) i}), PORT);
+        } catch (UnknownHostException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    static MemberName name(int i) {
+        return new MemberName(String.format("n%04d", i));
+    }
+
+    private void at(double when, int process, long life, Message message) {
+        events.add(new Event(when, turns++, process, life, message));
+    }
+
+    private Moment moment() {
+        return new Moment(Math.round(now * 1e6));
+    }
+
+    // ---- what is asked
+
+    public List<Happening> happenings() {
+        return happenings;
+    }
+
+    public double now() {
+        return now;
+    }
+
+    public long sent() {
+        return sent;
+    }
+
+    /** How often each kind of thing was noted, by all. */
+    public Map<String, Integer> notes() {
+        return notes;
+    }
+
+    public boolean isAlive(int i) {
+        return processes[i].alive;
+    }
+
+    public Standing standing(int i) {
+        return processes[i].membership.standing();
+    }
+
+    public View view(int i) {
+        return processes[i].membership.view();
+    }
+
+    public int carriers(int i) {
+        return processes[i].membership.carriers(moment());
+    }
+
+    public Set<Checker.Live> live() {
+        Set<Checker.Live> live = new LinkedHashSet<>();
+        for (int i = 0; i < processes.length; i++) {
+            if (processes[i].alive) {
+                Member self = processes[i].membership.self();
+                live.add(new Checker.Live(i, self.name().value(), self.birth().value()));
+            }
+        }
+        return live;
+    }
+
+    /** Whether all that live hold one view of just these. */
+    public boolean isSettled() {
+        Set<Checker.Live> live = live();
+        View first = null;
+        for (Checker.Live l : live) {
+            View view = view(l.process());
+            if (view == null || view.members().size() != live.size() || first != null && !first.id().equals(view.id())) {
+                return false;
+            }
+            first = view;
+        }
+        for (Member m : first == null ? List.<Member>of() : first.members()) {
+            int i = byAddress.get(m.address());
+            if (!processes[i].alive || !processes[i].membership.self().equals(m)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    // ---- the run
+
+    /** Plays until this moment. */
+    public void run(double until) {
+        while (!events.isEmpty() && events.peek().at <= until) {
+            Event e = events.poll();
+            now = Math.max(now, e.at);
+            play(e);
+        }
+        now = until;
+    }
+
+    private void play(Event e) {
+        Process p = processes[e.process];
+        if (e.life == -1) {
+            troubled(e.process);
+        } else if (e.message != null) {
+            if (!p.alive || e.life != p.life) {
+                // Late for a former process: the one that has its address now gets it.
+                if (p.alive) {
+                    hears(e.process, e.message);
+                }
+                return;
+            }
+            hears(e.process, e.message);
+        } else if (!p.started && e.life == 0) {
+            start(e.process);
+        } else if (p.alive && e.life == p.life && e.at >= p.wake) {
+            if (stands(e.process)) {
+                return;
+            }
+            due(e.process);
+        }
+    }
+
+    /** Whether a process stands still now, and until when if it runs in turns. */
+    private boolean stands(int i) {
+        for (Trouble t : troubles) {
+            if (t.who().contains(i) && now >= t.atS() && now < t.endS()) {
+                if (t.kind() == Trouble.Kind.PAUSE) {
+                    return true;
+                }
+                if (t.kind() == Trouble.Kind.SLOW && now * 10 % 1 > t.size()) {
+                    at(Math.floor(now * 10 + 1) / 10 + 1e-6, i, -1, null);
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
+    private void hears(int i, Message message) {
+        Process p = processes[i];
+        if (stands(i)) {
+            if (p.unread.size() < MOST_UNREAD) {
+                p.unread.add(message);
+            }
+            return;
+        }
+        if (p.wake < now - plan.periodS / 2) {
+            due(i);
+        }
+        carryOut(i, p.membership.heard(message, moment()));
+    }
+
+    private void due(int i) {
+        carryOut(i, processes[i].membership.due(moment()));
+    }
+
+    private void start(int i) {
+        Process p = processes[i];
+        p.started = true;
+        p.alive = true;
+        p.life++;
+        p.unread.clear();
+        List<InetSocketAddress> seeds = new ArrayList<>();
+        List<MemberName> founders = new ArrayList<>();
+        for (int f = 0; f < Math.max(plan.founders, Math.min(8, plan.processes)); f++) {
+            seeds.add(addresses.get(f));
+            if (f < plan.founders) {
+                founders.add(name(f));
+            }
+        }
+        Terms terms = new Terms(new Span(Math.round(plan.periodS * 1e6)), plan.patience, 3, founders, seeds,
+                new Span(Math.round(plan.longestSendS * 1e6)));
+        p.membership = new Membership(terms, new Member(name(i), new Birth(++births), addresses.get(i)), chance.split());
+        note(i, null);
+        carryOut(i, p.membership.start(moment()));
+    }
+
+    /** A trouble of a process begins or ends. */
+    private void troubled(int i) {
+        Process p = processes[i];
+        for (Trouble t : troubles) {
+            boolean dies = t.kind() == Trouble.Kind.KILL || t.kind() == Trouble.Kind.TERM || t.kind() == Trouble.Kind.GONE;
+            if (dies && t.who().contains(i) && Math.abs(t.atS() - now) < 1e-9 && p.alive) {
+                if (t.kind() == Trouble.Kind.TERM && !stands(i)) {
+                    carryOut(i, p.membership.leave(moment()));
+                }
+                p.alive = false;
+                newest.values().forEach(this::lost);
+            } else if (dies && t.kind() != Trouble.Kind.GONE && t.who().contains(i) && Math.abs(t.endS() - now) < 1e-9
+                    && !p.alive && !staysDead(i)) {
+                start(i);
+            }
+        }
+        if (p.alive && !stands(i)) {
+            due(i);
+            while (!p.unread.isEmpty() && p.alive) {
+                hears(i, p.unread.poll());
+            }
+        }
+    }
+
+    /** Whether ever less than a majority of the newest view lived: no successor is possible, and an operator decides. */
+    public boolean lostMajority() {
+        return lostMajority;
+    }
+
+    private void lost(View view) {
+        long live = view.members().stream().filter(m -> {
+            Process p = processes[byAddress.get(m.address())];
+            return p.alive && p.membership.self().equals(m);
+        }).count();
+        lostMajority |= live < view.majority();
+    }
+
+    private boolean staysDead(int i) {
+        return troubles.stream().anyMatch(t -> t.who().contains(i) && t.atS() <= now
+                && (t.kind() == Trouble.Kind.GONE || (t.kind() == Trouble.Kind.KILL || t.kind() == Trouble.Kind.TERM) && now < t.endS() - 1e-9));
+    }
+
+    private void note(int i, View view) {
+        Process p = processes[i];
+        happenings.add(new Happening(now, i, p.membership.self().birth().value(), view == null ? null : view.id().toString(),
+                view == null ? List.of() : view.members().stream().map(m -> m.name() + "#" + m.birth()).toList()));
+    }
+
+    private void carryOut(int i, List<Act> acts) {
+        Process p = processes[i];
+        for (Act act : acts) {
+            if (act instanceof Act.Tell tell) {
+                tell(i, tell);
+            } else if (act instanceof Act.Installed installed) {
+                note(i, installed.view());
+                View view = installed.view();
+                if (view != null && newest.merge(view.id().line(), view,
+                        (a, b) -> a.id().number() < b.id().number() ? b : a) == view) {
+                    lost(view);
+                }
+            } else if (act instanceof Act.Noted noted) {
+                notes.merge(noted.event().label(), 1, Integer::sum);
+            }
+        }
+        Moment wake = p.membership.wake(moment());
+        if (wake == null) {
+            return;
+        }
+        double at = Math.max(now + 1e-6, wake.us() / 1e6);
+        if (at < p.wake || p.wake <= now) {
+            p.wake = at;
+            at(at, i, p.life, null);
+        }
+    }
+
+    private void tell(int from, Act.Tell tell) {
+        Integer to = byAddress.get(tell.to());
+        sent++;
+        if (to == null) {
+            return;
+        }
+        double delay = 0.0003 + 0.001 * chance.nextDouble();
+        int times = 1;
+        for (Trouble t : troubles) {
+            if (!t.between(from, to, now)) {
+                continue;
+            }
+            switch (t.kind()) {
+                case LOSS, LOSS_IN -> times = chance.nextDouble() < t.size() ? 0 : times;
+                case CUT, ONE_WAY, RING -> times = 0;
+                case DELAY -> delay += t.size() * chance.nextDouble();
+                case DOUBLE -> times = times > 0 && chance.nextDouble() < t.size() ? 2 : times;
+                default -> { }
+            }
+        }
+        for (int n = 0; n < times; n++) {
+            at(now + delay * (1 + n * chance.nextDouble()), to, processes[to].life, tell.message());
+        }
+    }
+}
--- a/src/main/java/cobaltseam/hall/AdvertSocket.java
+++ b/src/main/java/cobaltseam/hall/AdvertSocket.java
@@ -3,12 +3,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
-import java.nio.channels.ClosedSelectorException;
-import java.nio.channels.DatagramChannel;
-import java.nio.channels.Selector;
-import java.nio.channels.SelectionKey;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -32,17 +27,15 @@
     private static final int KEEPING = 128;
     private static final int BUFFER = 1 << 20;
 
-    private final InetSocketAddress at;
+    private final Datagrams datagrams;
     private final Receiver receiver;
     private final AtomicLong strangers = new AtomicLong();
     private final AtomicLong tooMany = new AtomicLong();
     private volatile Map<InetAddress, AtomicInteger> unheard = Map.of();
     private volatile int mostOfOne;
-    private DatagramChannel channel;
-    private Selector selector;
 
     public AdvertSocket(InetSocketAddress at, Set<InetAddress> peers, Receiver receiver) {
-        this.at = at;
+        datagrams = new Datagrams(at, LARGEST, this::handOver);
         this.receiver = receiver;
         peers(peers);
     }
@@ -57,57 +50,17 @@
 
     /** @throws IOException if the address can't be bound */
     public void open() throws IOException {
-        selector = Selector.open();
-        channel = DatagramChannel.open();
-        try {
-            channel.setOption(StandardSocketOptions.SO_RCVBUF, BUFFER);
-            channel.configureBlocking(false);
-            channel.bind(at);
-            channel.register(selector, SelectionKey.OP_READ);
-        } catch (IOException e) {
-            close();
-            throw e;
-        }
-        Thread reader = new Thread(this::read, "adverts");
-        reader.setDaemon(true);
-        reader.start();
-    }
-
-    /** The address that adverts come from. */
-    public InetAddress address() {
-        return at.getAddress();
+        datagrams.open(BUFFER, "adverts");
     }
 
-    private void read() {
-        ByteBuffer buffer = ByteBuffer.allocate(LARGEST);
-        while (selector.isOpen()) {
-            try {
-                selector.select();
-                selector.selectedKeys().clear();
-                for (InetSocketAddress from = receive(buffer); from != null; from = receive(buffer)) {
-                    handOver(buffer, from.getAddress());
-                }
-            } catch (ClosedSelectorException e) {
-                return;
-            } catch (IOException e) {
-                // An error that a datagram of ours brought back; the socket stays.
-                continue;
-            }
-        }
-    }
-
-    private InetSocketAddress receive(ByteBuffer buffer) throws IOException {
-        buffer.clear();
-        return channel.isOpen() ? (InetSocketAddress) channel.receive(buffer) : null;
-    }
-
-    private void handOver(ByteBuffer buffer, InetAddress source) {
+    private void handOver(ByteBuffer buffer, InetSocketAddress from) {
+        InetAddress source = from.getAddress();
         AtomicInteger waiting = unheard.get(source);
         if (waiting == null) {
             strangers.incrementAndGet();
             return;
         }
-        byte[] bytes = new byte[buffer.flip().remaining()];
+        byte[] bytes = new byte[buffer.remaining()];
         if (waiting.addAndGet(bytes.length + KEEPING) > mostOfOne) {
             waiting.addAndGet(-bytes.length - KEEPING);
             tooMany.incrementAndGet();
@@ -137,19 +90,11 @@
 
     /** Sends one; it never waits. */
     public void send(byte[] bytes, InetSocketAddress to) throws IOException {
-        channel.send(ByteBuffer.wrap(bytes), to);
+        datagrams.send(bytes, to);
     }
 
     /** Closes it; nothing is handed over from then on. */
     public void close() {
-        try {
-            if (channel != null) {
-                channel.close();
-            }
-            selector.close();
-        } catch (IOException e) {
-            // Nothing of it is left to be used.
-            channel = null;
-        }
+        datagrams.close();
     }
 }
--- a/src/main/java/cobaltseam/mastership/Intake.java
+++ b/src/main/java/cobaltseam/mastership/Intake.java
@@ -7,13 +7,14 @@
 import java.util.Set;
 
 import cobaltseam.dispatch.Moment;
+import cobaltseam.vrrp.AdvertSeal;
 import cobaltseam.vrrp.Advert;
 import cobaltseam.vrrp.AdvertCodec;
 import cobaltseam.vrrp.Reading;
 import cobaltseam.vrrp.Reading.Covers;
 import cobaltseam.vrrp.Refusal;
-import cobaltseam.vrrp.Seal;
-import cobaltseam.vrrp.SealKeys;
+import cobaltseam.seal.Seal;
+import cobaltseam.seal.SealKeys;
 
 /** Decides which datagrams count as adverts, and counts what does not by its reason. What is refused changes nothing. */
 public final class Intake {
@@ -61,7 +62,7 @@
         Advert advert = whole.advert();
         if (keys != null) {
             Optional<Refusal> broken = !whole.sealed() ? Optional.of(Refusal.UNSEALED)
-                    : Seal.check(bytes, whole.length(), source, destination, keys);
+                    : AdvertSeal.check(bytes, whole.length(), source, destination, keys);
             if (broken.isPresent()) {
                 return refuse(broken.get());
             }
--- /dev/null
+++ b/src/main/java/cobaltseam/membership/ViewId.java
@@ -0,0 +1,26 @@
+package cobaltseam.membership;
+
+/**
+ * The number of a view, within one line of views that began with a founding. In one line a number is held with one set of
+ * members only, by whatever process, ever.
+ *
+ * @param line the birth of the process that founded it, so that of two lines the lower one is the elder; zero where there
+ *     is no view
+ */
+public record ViewId(long line, long number) {
+    public static final ViewId NONE = new ViewId(0, 0);
+
+    ViewId next() {
+        return new ViewId(line, number + 1);
+    }
+
+    /** Whether this one follows another in its line, at once or later. */
+    boolean after(ViewId other) {
+        return line == other.line && number > other.number;
+    }
+
+    @Override
+    public String toString() {
+        return Long.toHexString(line) + "/" + number;
+    }
+}
--- a/src/main/java/cobaltseam/vrrp/SealKeys.java
+++ b/src/main/java/cobaltseam/seal/SealKeys.java
@@ -1,4 +1,4 @@
-package cobaltseam.vrrp;
+package cobaltseam.seal;
 
 import java.util.HexFormat;
 import java.util.Map;
--- a/src/main/java/cobaltseam/service/Hall.java
+++ b/src/main/java/cobaltseam/service/Hall.java
@@ -38,12 +38,12 @@
 import cobaltseam.mastership.VirtualRouterId;
 import cobaltseam.service.Counters.Count;
 import cobaltseam.setup.Setup;
+import cobaltseam.vrrp.AdvertSeal;
 import cobaltseam.vrrp.Addresses;
 import cobaltseam.vrrp.Advert;
 import cobaltseam.vrrp.AdvertCodec;
 import cobaltseam.vrrp.Reading.Covers;
 import cobaltseam.vrrp.Refusal;
-import cobaltseam.vrrp.Seal;
 
 /**
  * This dispatcher among those of its hall: carries adverts between the socket and {@link Mastership}, and makes the
@@ -357,7 +357,7 @@
         for (InetSocketAddress peer : told.peers()) {
             byte[] bytes = AdvertCodec.write(advert, self, peer.getAddress(), told.covers());
             if (told.sealing() != null) {
-                bytes = Seal.write(bytes, self, peer.getAddress(), told.sealing().keys(), told.sealing().writeKey(), sequence);
+                bytes = AdvertSeal.write(bytes, self, peer.getAddress(), told.sealing().keys(), told.sealing().writeKey(), sequence);
             }
             try {
                 socket.send(bytes, peer);
--- /dev/null
+++ b/src/main/java/cobaltseam/service/Members.java
@@ -0,0 +1,271 @@
+package cobaltseam.service;
+
+import java.io.IOException;
+import java.lang.System.Logger.Level;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+
+import cobaltseam.dispatch.Deployment;
+import cobaltseam.dispatch.Moment;
+import cobaltseam.dispatch.Span;
+import cobaltseam.hall.MessageCodec;
+import cobaltseam.hall.MessageCodec.Refusal;
+import cobaltseam.hall.PeerSocket;
+import cobaltseam.log.Field;
+import cobaltseam.membership.Act;
+import cobaltseam.membership.Birth;
+import cobaltseam.membership.Member;
+import cobaltseam.membership.MemberName;
+import cobaltseam.membership.Membership;
+import cobaltseam.membership.Message;
+import cobaltseam.membership.Standing;
+import cobaltseam.membership.Terms;
+import cobaltseam.membership.View;
+import cobaltseam.service.Counters.Count;
+import cobaltseam.setup.Setup;
+
+/**
+ * This dispatcher among those of its fleet: carries messages between the socket and {@link Membership}, and tells the module over
+ * how many dispatchers the engines are shared. A fault of it ends it and nothing else: the service goes on as one without
+ * it, by the number of dispatchers that its settings name.
+ */
+final class Members {
+    private static final System.Logger LOG = System.getLogger(Members.class.getName());
+    private static final int US_PER_MS = 1000;
+
+    private final Setup.Fleet told;
+    private final int dispatchersTold;
+    private final Commands commands;
+    /** Whether mastership tells the module how many dispatchers share the engines; membership then does not. */
+    private final boolean masteredElsewhere;
+    private final Inbox inbox;
+    private final Clock clock;
+    private final Deadlines deadlines;
+    private final Counters counters;
+    private final BoundedLog log;
+    private final MessageCodec codec;
+    private final PeerSocket socket;
+    private final Membership membership;
+    private final Map<Refusal, Long> refused = new EnumMap<>(Refusal.class);
+    private Deadlines.Deadline wake, falls;
+    private Moment dueAt;
+    private Standing standing = Standing.NONE;
+    private int sharedOver;
+    private boolean broken, open;
+
+    Members(Setup.Fleet told, Installation installation, Commands commands, Clients clients, boolean masteredElsewhere, Inbox inbox,
+            Clock clock, Deadlines deadlines, Counters counters) {
+        this.told = told;
+        this.commands = commands;
+        this.masteredElsewhere = masteredElsewhere;
+        this.inbox = inbox;
+        this.clock = clock;
+        this.deadlines = deadlines;
+        this.counters = counters;
+        log = new BoundedLog(LOG, clock);
+        dispatchersTold = installation.deployment().dispatchers();
+        sharedOver = dispatchersTold;
+        Span longest = installation.deployment().profiles().stream().map(Deployment.Profile::clientTimeout)
+                .max(Span::compareTo).orElse(Span.ZERO);
+        codec = new MessageCodec(told.fleet(), told.sealing() == null ? null : told.sealing().keys(),
+                told.sealing() == null ? 0 : told.sealing().writeKey());
+        socket = new PeerSocket(told.listen(), this::came);
+        Terms terms = new Terms(told.period(), told.patience(), told.helpers(),
+                told.founders().stream().map(MemberName::new).toList(), told.seeds(), longest);
+        // Later than any earlier process here, if clocks are right; if not, peers say so and it is raised.
+        Birth birth = new Birth(Math.max(1, System.currentTimeMillis()));
+        Member self = new Member(new MemberName(installation.name()), birth, told.advertise());
+        membership = new Membership(terms, self, new SplittableRandom(installation.seed() ^ System.nanoTime()));
+        clients.shows("members", this::rows);
+    }
+
+    // ---- from the start to the end
+
+    void open() throws IOException {
+        socket.open();
+        open = true;
+        LOG.log(Level.INFO, "member {0}, birth {1}, of fleet {2} on {3}", Field.of("member", membership.self().name()),
+                Field.of("birth", membership.self().birth()), Field.of("fleet", told.fleet()), Field.of("address", told.advertise()),
+                Field.event("membership.opened"));
+        act(() -> membership.start(clock.now()));
+    }
+
+    /** Tells the others that it leaves, so that no suspicion follows. */
+    void leave() {
+        act(() -> membership.leave(clock.now()));
+    }
+
+    void close() {
+        if (open) {
+            socket.close();
+        }
+    }
+
+    // ---- what happens
+
+    private void came(byte[] bytes) {
+        inbox.post(null, () -> {
+            socket.heard(bytes);
+            if (!broken) {
+                heard(bytes);
+            }
+        });
+    }
+
+    private void heard(byte[] bytes) {
+        MessageCodec.Reading reading = codec.read(bytes);
+        if (reading.refusal() != null) {
+            counters.add(Count.MEMBERSHIP_DATAGRAMS_REFUSED);
+            refused.merge(reading.refusal(), 1L, Long::sum);
+            log.warn("a datagram to {0} is refused: {1}", Field.of("address", told.listen()),
+                    Field.of("reason", reading.refusal().label()), Field.event("membership.refused"));
+            return;
+        }
+        counters.add(Count.MEMBERSHIP_DATAGRAMS_TAKEN);
+        Message message = reading.message();
+        act(() -> membership.heard(message, clock.now()));
+    }
+
+    /** Before anything else is heard: whether this process stood still, for then its view may be an old one. */
+    void look() {
+        if (!broken && dueAt != null && clock.now().since(dueAt).compareTo(told.period().times(0.5)) > 0) {
+            due();
+        }
+    }
+
+    private void due() {
+        counters.add(Count.MEMBERSHIP_DATAGRAMS_DROPPED, socket.tooMany());
+        act(() -> membership.due(clock.now()));
+    }
+
+    // ---- what follows
+
+    /** Asks membership, and does what it says; a fault of it ends membership and nothing else. */
+    private void act(Supplier<List<Act>> asked) {
+        if (broken) {
+            return;
+        }
+        try {
+            asked.get().forEach(this::carryOut);
+            Moment now = clock.now();
+            deadlines.cancel(wake);
+            dueAt = membership.wake(now);
+            wake = dueAt == null ? null : deadlines.set(dueAt, this::due);
+            stands();
+            shared(now);
+        } catch (RuntimeException e) {
+            fault(e);
+        }
+    }
+
+    private void carryOut(Act act) {
+        if (act instanceof Act.Tell tell) {
+            tell(tell);
+        } else if (act instanceof Act.Installed installed) {
+            counters.add(Count.MEMBERSHIP_VIEWS);
+            View view = installed.view();
+            LOG.log(Level.INFO, "view {0} with {1} members: {2}", Field.of("view", view == null ? "none" : view.id()),
+                    Field.of("count", view == null ? 0 : view.members().size()),
+                    Field.of("members", view == null ? "" : view.members().stream().map(m -> m.name() + "#" + m.birth())
+                            .collect(Collectors.joining(" "))),
+                    Field.of("birth", membership.self().birth()), Field.event("membership.view"));
+        } else if (act instanceof Act.Noted noted) {
+            counters.add(switch (noted.event()) {
+                case SUSPECTED -> Count.MEMBERSHIP_SUSPECTED;
+                case STOOD_STILL -> Count.MEMBERSHIP_STOOD_STILL;
+                default -> Count.MEMBERSHIP_NOTED;
+            });
+            log.warn("{0}: {1}, {2}", Field.of("member", noted.who()), Field.of("what", noted.event().label()),
+                    Field.of("detail", noted.detail()), Field.event("membership." + noted.event().label()));
+        }
+    }
+
+    private void tell(Act.Tell tell) {
+        byte[] bytes = codec.write(tell.message());
+        try {
+            if (bytes == null) {
+                throw new IOException("longer than " + MessageCodec.LARGEST + " bytes");
+            }
+            socket.send(bytes, tell.to());
+            counters.add(Count.MEMBERSHIP_DATAGRAMS_SENT);
+        } catch (IOException | RuntimeException e) {
+            counters.add(Count.MEMBERSHIP_DATAGRAMS_UNSENT);
+            log.warn("no datagram to {0}: {1}", Field.of("peer", tell.to()), Field.of("reason", e.getMessage()),
+                    Field.event("membership.unsent"));
+        }
+    }
+
+    private void stands() {
+        Standing now = membership.standing();
+        if (now != standing) {
+            standing = now;
+            LOG.log(Level.INFO, "standing: {0}", Field.of("standing", now.label()), Field.event("membership.standing"));
+        }
+    }
+
+    /** Tells the module over how many dispatchers engines are shared; without a view, over as many as the settings name. */
+    private void shared(Moment now) {
+        int over = membership.carriers(now);
+        over = over == 0 ? dispatchersTold : over;
+        if (over != sharedOver) {
+            sharedOver = over;
+            if (!masteredElsewhere) {
+                commands.sharedOver(over);
+            }
+        }
+        deadlines.cancel(falls);
+        Moment at = membership.carriersFallAt();
+        falls = at == null ? null : deadlines.set(at, () -> act(List::of));
+    }
+
+    /** Ends membership for good; the service goes on as one that has none. */
+    private void fault(RuntimeException e) {
+        counters.add(Count.FAULTS);
+        LOG.log(Level.ERROR, "a fault in membership, which ends here until the next start", e);
+        broken = true;
+        deadlines.cancel(wake);
+        deadlines.cancel(falls);
+        close();
+        if (!masteredElsewhere && sharedOver != dispatchersTold) {
+            commands.sharedOver(dispatchersTold);
+        }
+    }
+
+    // ---- what is asked
+
+    /** SHOW cobaltseam.members. */
+    private List<String[]> rows() {
+        Moment now = clock.now();
+        List<String[]> rows = new ArrayList<>();
+        View view = membership.view();
+        rows.add(new String[] {"membership", broken ? "ended by a fault" : "on"});
+        rows.add(new String[] {"self", membership.self().name() + " birth " + membership.self().birth() + " at " + told.advertise()});
+        rows.add(new String[] {"standing", membership.standing().label()});
+        rows.add(new String[] {"view", view == null ? "none" : view.id() + ", " + view.members().size() + " members, since "
+                + ms(now, membership.viewSince()) + " ms"});
+        rows.add(new String[] {"engines_shared_over", Integer.toString(sharedOver) + (masteredElsewhere ? ", by mastership" : "")});
+        rows.add(new String[] {"own_health", membership.health() + " (0 is well)"});
+        rows.add(new String[] {"bears_ms", Long.toString(membership.bears().us() / US_PER_MS)});
+        for (Membership.Seen seen : membership.seen()) {
+            boolean held = view != null && view.holds(seen.member().name(), seen.member().birth());
+            rows.add(new String[] {"member_" + seen.member().name(), seen.condition().name().toLowerCase(Locale.ROOT) + " since "
+                    + ms(now, seen.since()) + " ms, " + (held ? "in the view" : "not in the view") + ", birth "
+                    + seen.member().birth() + " incarnation " + seen.incarnation() + ", heard "
+                    + (seen.heard() == null ? "never" : ms(now, seen.heard()) + " ms ago") + ", round trip "
+                    + (seen.roundTrip() == null ? "unknown" : seen.roundTrip().us() + " us")
+                    + (seen.by().isEmpty() ? "" : ", suspected by " + seen.by())});
+        }
+        refused.forEach((why, times) -> rows.add(new String[] {"datagrams_refused_" + why.label(), Long.toString(times)}));
+        return rows;
+    }
+
+    private static long ms(Moment now, Moment then) {
+        return now.since(then).us() / US_PER_MS;
+    }
+}
--- a/src/main/java/cobaltseam/service/Service.java
+++ b/src/main/java/cobaltseam/service/Service.java
@@ -43,6 +43,8 @@
     /** The own file, where one is named, and what takes part in a hall by it; else null. */
     private Path own;
     private Hall hall;
+    /** What takes part in a fleet, where the own file has one; else null. */
+    private Members members;
     private final Clock clock = new Clock();
     private final Deadlines deadlines = new Deadlines();
     private final Counters counters = new Counters();
@@ -93,6 +95,9 @@
         if (setup != null && setup.hall() != null) {
             service.joins(setup.hall());
         }
+        if (setup != null && setup.fleet() != null) {
+            service.joins(setup.fleet());
+        }
         service.readAnewOnHangUp(System.getenv());
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             service.stop();
@@ -157,6 +162,9 @@
         if (hall != null) {
             hall.open();
         }
+        if (members != null) {
+            members.open();
+        }
     }
 
     /** SIGHUP: reads the configuration anew; one that can't be used changes nothing. */
@@ -206,6 +214,9 @@
     }
 
     private void renewed(Setup setup) {
+        if ((members != null) != (setup.fleet() != null)) {
+            LOG.log(Level.WARNING, "whether membership is on stays until the next start", Field.event("configuration.partly"));
+        }
         if (hall != null && setup.hall() != null) {
             hall.renewed(setup.hall());
         } else if (hall != null || setup.hall() != null) {
@@ -233,6 +244,11 @@
         hall = new Hall(with, told, fitness, commands, clients, acceptor, inbox, clock, deadlines, counters);
     }
 
+    /** Takes part in a fleet from the start on. */
+    void joins(Setup.Fleet with) {
+        members = new Members(with, told, commands, clients, hall != null, inbox, clock, deadlines, counters);
+    }
+
     /** What this dispatcher's fitness is judged by. */
     private Hall.Report report() {
         return new Hall.Report(bus.silent(clock.now()), engines.inService(), engines.failing(),
@@ -250,14 +266,10 @@
             // that was held up would else give up sends whose answers lie here.
             Runnable task = inbox.next(deadlines.untilNext(clock.now(), LONGEST_WAIT));
             for (int heard = 1; task != null; task = heard++ < MOST_AT_ONCE ? inbox.next(Span.ZERO) : null) {
-                if (hall != null) {
-                    hall.look();
-                }
+                look();
                 task.run();
             }
-            if (hall != null) {
-                hall.look();
-            }
+            look();
             for (Runnable due = deadlines.due(clock.now()); due != null; due = deadlines.due(clock.now())) {
                 try {
                     due.run();
@@ -275,6 +287,16 @@
         ended.countDown();
     }
 
+    /** Before anything is heard or decided: what a process that stood still has to know first. */
+    private void look() {
+        if (hall != null) {
+            hall.look();
+        }
+        if (members != null) {
+            members.look();
+        }
+    }
+
     /** Commands answered; to be asked when the loop has ended. */
     long answered() {
         return counters.of(Count.COMMANDS_ANSWERED);
@@ -291,6 +313,9 @@
             if (hall != null) {
                 hall.leave();
             }
+            if (members != null) {
+                members.leave();
+            }
             leaveFrom = clock.now().plus(STOP_AFTER);
             deadlines.set(leaveFrom, () -> { });
         });
@@ -306,6 +331,9 @@
         if (hall != null) {
             hall.close();
         }
+        if (members != null) {
+            members.close();
+        }
         acceptor.dispose();
         toEngines.dispose();
         toBus.dispose();
--- a/src/main/java/cobaltseam/setup/Setup.java
+++ b/src/main/java/cobaltseam/setup/Setup.java
@@ -10,12 +10,12 @@
 import cobaltseam.mastership.Fitness;
 import cobaltseam.mastership.Terms;
 import cobaltseam.vrrp.Reading.Covers;
-import cobaltseam.vrrp.SealKeys;
+import cobaltseam.seal.SealKeys;
 
 /** What our own file switches on; a part that is null is off. */
-public record Setup(boolean jsonLog, Hall hall) {
+public record Setup(boolean jsonLog, Hall hall, Fleet fleet) {
     /** Without a file: everything is off. */
-    public static final Setup OFF = new Setup(false, null);
+    public static final Setup OFF = new Setup(false, null, null);
 
     /** The group of dispatchers that share virtual addresses by VRRP; elsewhere is below zero where it is not set. */
     public record Hall(InetSocketAddress listen, List<InetSocketAddress> peers, Covers covers, boolean followsIntervals,
@@ -34,6 +34,11 @@
     public record Seat(Terms terms, InetSocketAddress serve) {
     }
 
+    /** The fleet that this dispatcher is a member of; sealing is null where messages have no seal. */
+    public record Fleet(String fleet, InetSocketAddress listen, InetSocketAddress advertise, List<InetSocketAddress> seeds,
+                        List<String> founders, Span period, double patience, int helpers, Sealing sealing) {
+    }
+
     /** The keys of seals, the one to write with, and how much clocks may differ. */
     public record Sealing(SealKeys keys, int writeKey, Span clockDifference) {
     }
--- a/src/main/java/cobaltseam/setup/SetupReader.java
+++ b/src/main/java/cobaltseam/setup/SetupReader.java
@@ -23,7 +23,7 @@
 import cobaltseam.mastership.VirtualRouterId;
 import cobaltseam.vrrp.Addresses;
 import cobaltseam.vrrp.Reading.Covers;
-import cobaltseam.vrrp.SealKeys;
+import cobaltseam.seal.SealKeys;
 import com.fasterxml.jackson.core.JacksonException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -88,7 +88,9 @@
         end();
         boolean json = told.at("/logging/form").asText("text").equals("json");
         JsonNode mastership = told.path("mastership");
-        Setup setup = new Setup(json, mastership.isMissingNode() ? null : hall(mastership));
+        JsonNode membership = told.path("membership");
+        Setup setup = new Setup(json, mastership.isMissingNode() ? null : hall(mastership),
+                membership.isMissingNode() ? null : fleet(membership));
         end();
         return setup;
     }
@@ -226,10 +228,28 @@
         return new Setup.Hall(listen, List.copyOf(peers.stream().filter(p -> p != null).toList()),
                 told.path("ipv4_checksum").asText("message").equals("message") ? Covers.MESSAGE : Covers.PSEUDO_HEADER,
                 told.path("other_interval").asText("follow").equals("follow"), told.path("elsewhere").asInt(-1),
-                told.path("stand_by_answers").asBoolean(true), seats, sealing(told.path("seal")),
+                told.path("stand_by_answers").asBoolean(true), seats, sealing("mastership", told.path("seal")),
                 fitness(told.path("fitness")));
     }
 
+    private Setup.Fleet fleet(JsonNode told) {
+        JsonNode keys = schema.at("/properties/membership/properties");
+        InetSocketAddress listen = address("membership.listen", told.path("listen"));
+        InetSocketAddress advertise = told.has("advertise") ? address("membership.advertise", told.path("advertise")) : listen;
+        List<InetSocketAddress> seeds = new ArrayList<>();
+        for (int i = 0; i < told.path("seeds").size(); i++) {
+            InetSocketAddress seed = address("membership.seeds[" + i + "]", told.path("seeds").path(i));
+            if (seed != null) {
+                seeds.add(seed);
+            }
+        }
+        List<String> founders = new ArrayList<>();
+        told.path("founders").forEach(f -> founders.add(f.asText()));
+        return new Setup.Fleet(told.path("fleet").asText(), listen, advertise, List.copyOf(seeds), List.copyOf(founders),
+                new Span(value(told, keys, "period_ms").asLong() * US_PER_MS), value(told, keys, "patience").asDouble(),
+                value(told, keys, "helpers").asInt(), sealing("membership", told.path("seal")));
+    }
+
     private static boolean six(InetSocketAddress address) {
         return address.getAddress() instanceof Inet6Address;
     }
@@ -258,7 +278,7 @@
         return new Span(told.asLong(otherwise) * US_PER_MS);
     }
 
-    private Setup.Sealing sealing(JsonNode told) {
+    private Setup.Sealing sealing(String part, JsonNode told) {
         if (told.isMissingNode()) {
             return null;
         }
@@ -267,13 +287,13 @@
         try {
             SealKeys keys = SealKeys.read(Files.readString(folder.resolve(name)));
             if (!keys.has(told.path("write_key").asInt())) {
-                wrong("mastership.seal.write_key", told.path("write_key"), "the id of a key in " + name + " is allowed.");
+                wrong(part + ".seal.write_key", told.path("write_key"), "the id of a key in " + name + " is allowed.");
             }
             return new Setup.Sealing(keys, told.path("write_key").asInt(), ms(told.path("clock_difference_ms"), 500));
         } catch (IOException e) {
-            wrong("mastership.seal.keys", told.path("keys"), "a file that can be read is allowed; this one: " + e);
+            wrong(part + ".seal.keys", told.path("keys"), "a file that can be read is allowed; this one: " + e);
         } catch (IllegalArgumentException e) {
-            wrong("mastership.seal.keys", told.path("keys"), "a file of keys is allowed; of this one " + e.getMessage());
+            wrong(part + ".seal.keys", told.path("keys"), "a file of keys is allowed; of this one " + e.getMessage());
         }
         return null;
     }
--- a/src/main/java/cobaltseam/vrrp/AdvertCodec.java
+++ b/src/main/java/cobaltseam/vrrp/AdvertCodec.java
@@ -7,6 +7,7 @@
 import java.util.Arrays;
 import java.util.List;
 
+import cobaltseam.seal.Seal;
 import cobaltseam.vrrp.Reading.Covers;
 
 /**
--- a/src/test/java/cobaltseam/emulator/ExperimentTest.java
+++ b/src/test/java/cobaltseam/emulator/ExperimentTest.java
@@ -97,8 +97,8 @@
         List<Fault> faults = new ArrayList<>(Fault.drawn(world, 60, 15, 3));
         faults.add(7, new Fault(Fault.Kind.PARTITION, 10, 16, List.of(1, 4, 6, 8), 1, 2));
         // It fails where engine 6 is cut off from dispatcher 2 for at least three seconds.
-        Shrink shrink = new Shrink(fs -> fs.stream().anyMatch(f -> f.kind() == Fault.Kind.PARTITION && f.who() == 2 && f.engines().contains(6)
-                && f.lengthS() >= 3));
+        Shrink<Fault> shrink = new Shrink<>(fs -> fs.stream().anyMatch(f -> f.kind() == Fault.Kind.PARTITION && f.who() == 2 && f.engines().contains(6)
+                && f.lengthS() >= 3), Fault::simpler);
         List<Fault> least = shrink.of(faults);
         assertEquals(1, least.size(), least.toString());
         assertEquals(List.of(6), least.get(0).engines());
--- /dev/null
+++ b/src/test/java/cobaltseam/fleet/RealFleetTest.java
@@ -0,0 +1,132 @@
+package cobaltseam.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+
+import cobaltseam.fleet.Trouble.Kind;
+import cobaltseam.hall.MessageCodec;
+import cobaltseam.membership.Birth;
+import cobaltseam.membership.Condition;
+import cobaltseam.membership.Member;
+import cobaltseam.membership.MemberName;
+import cobaltseam.membership.Message;
+import cobaltseam.membership.News;
+import cobaltseam.membership.ViewId;
+import cobaltseam.standin.ClientStandIn;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Real processes of the program, and what goes wrong between them. Verdicts hang on no timing but a long wait. */
+class RealFleetTest {
+    private static final double LONG_S = 60;
+
+    @TempDir
+    Path folder;
+
+    private static void settles(RealFleet fleet) throws InterruptedException {
+        assertTrue(fleet.awaitSettled(LONG_S) >= 0, "not one view of the living: " + fleet.happenings());
+        assertEquals(List.of(), Checker.check(fleet.happenings(), fleet.live(), true));
+    }
+
+    private static Map<String, String> show(RealFleet fleet, int i) throws Exception {
+        try (ClientStandIn client = new ClientStandIn(new InetSocketAddress("127.0.0.1", fleet.port(i)), 10_000)) {
+            return client.show("members");
+        }
+    }
+
+    private static void awaitShown(RealFleet fleet, int i, String row, String text) throws Exception {
+        for (long from = System.nanoTime(); !show(fleet, i).get(row).contains(text);) {
+            assertTrue(System.nanoTime() - from < LONG_S * 1e9, row + ": " + show(fleet, i));
+            Thread.sleep(50);
+        }
+    }
+
+    @Test
+    void processesFindEachOtherLoseOneAndTakeItBack() throws Exception {
+        try (RealFleet fleet = new RealFleet(RealFleet.Plan.of(4), List.of(), 1, folder)) {
+            fleet.startAll();
+            settles(fleet);
+            awaitShown(fleet, 3, "standing", "majority");
+            awaitShown(fleet, 3, "engines_shared_over", "4");
+            assertTrue(show(fleet, 3).get("member_n000").startsWith("alive"), show(fleet, 3).toString());
+            fleet.kill(1);
+            settles(fleet);
+            // Its sends may hold engines for 3 s yet, the longest client timeout; then three share.
+            awaitShown(fleet, 3, "engines_shared_over", "3");
+            fleet.start(1);
+            settles(fleet);
+            awaitShown(fleet, 3, "engines_shared_over", "4");
+            fleet.end(2);
+            for (long from = System.nanoTime(); fleet.isAlive(2);) {
+                assertTrue(System.nanoTime() - from < LONG_S * 1e9, "SIGTERM does not end it");
+                Thread.sleep(20);
+            }
+            settles(fleet);
+            assertTrue(fleet.events(0, "membership.left") + fleet.events(1, "membership.left") + fleet.events(3, "membership.left") > 0,
+                    "it told that it leaves");
+        }
+    }
+
+    @Test
+    void oneThatStoodStillIsTakenOutAndSaysSoBeforeItActsAsAMember() throws Exception {
+        try (RealFleet fleet = new RealFleet(RealFleet.Plan.of(4), List.of(), 2, folder)) {
+            fleet.startAll();
+            settles(fleet);
+            String before = fleet.view(2);
+            fleet.stop(2);
+            for (long from = System.nanoTime(); fleet.members(0).size() != 3;) {
+                assertTrue(System.nanoTime() - from < LONG_S * 1e9, "not taken out");
+                Thread.sleep(20);
+            }
+            assertEquals(before, fleet.view(2), "it knows nothing of it");
+            fleet.go(2);
+            settles(fleet);
+            assertTrue(fleet.events(2, "membership.stood_still") > 0);
+        }
+    }
+
+    @Test
+    void aSplitWithOneSidedCutsAndLossHealsToOneView() throws Exception {
+        List<Trouble> script = List.of(new Trouble(Kind.LOSS, 0, 14, List.of(), List.of(), 0.2),
+                new Trouble(Kind.CUT, 6, 4, List.of(0, 1), List.of(), 1), new Trouble(Kind.ONE_WAY, 10, 4, List.of(3), List.of(), 1),
+                new Trouble(Kind.DOUBLE, 4, 10, List.of(), List.of(), 0.3), new Trouble(Kind.DELAY, 4, 10, List.of(), List.of(), 0.1),
+                new Trouble(Kind.KILL, 11, 2, List.of(4), List.of(), 1));
+        try (RealFleet fleet = new RealFleet(RealFleet.Plan.of(5), script, 3, folder)) {
+            fleet.startAll();
+            fleet.play();
+            settles(fleet);
+        }
+    }
+
+    @Test
+    void forgedAndForeignDatagramsAreRefusedAndEndNothing() throws Exception {
+        try (RealFleet fleet = new RealFleet(RealFleet.Plan.of(3), List.of(), 4, folder)) {
+            fleet.startAll();
+            settles(fleet);
+            Member stranger = new Member(new MemberName("n001"), new Birth(1L << 59), new InetSocketAddress("127.0.0.1", 9));
+            Message.Teller teller = new Message.Teller(stranger, 0, ViewId.NONE, false);
+            byte[] foreign = new MessageCodec("other", null, 0).write(new Message.Part(teller,
+                    List.of(new News(stranger, 0, Condition.ALIVE, stranger.name())), false));
+            byte[] older = new MessageCodec("rig", null, 0).write(new Message.Ask(
+                    new Message.Teller(new Member(stranger.name(), new Birth(5), stranger.address()), 0, ViewId.NONE, false), null));
+            byte[] taken = new MessageCodec("rig", null, 0).write(new Message.Ask(teller, null));
+            for (int i = 0; i < 50; i++) {
+                fleet.say(0, foreign);
+                fleet.say(0, new byte[] {1, 2, 3});
+                fleet.say(0, new byte[0]);
+                fleet.say(0, older);
+                fleet.say(0, taken);
+            }
+            awaitShown(fleet, 0, "datagrams_refused_other_fleet", "50");
+            settles(fleet);
+            assertEquals(3, fleet.members(0).size());
+            assertFalse(show(fleet, 0).get("member_n001").contains("birth " + (1L << 59)), "a name that lives is not taken over");
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/cobaltseam/hall/MessageCodecTest.java
@@ -0,0 +1,135 @@
+package cobaltseam.hall;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.util.Arrays;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+
+import cobaltseam.hall.MessageCodec.Refusal;
+import cobaltseam.membership.Ballot;
+import cobaltseam.membership.Birth;
+import cobaltseam.membership.Change;
+import cobaltseam.membership.Condition;
+import cobaltseam.membership.Member;
+import cobaltseam.membership.MemberName;
+import cobaltseam.membership.Message;
+import cobaltseam.membership.Message.Teller;
+import cobaltseam.membership.News;
+import cobaltseam.membership.ViewId;
+import cobaltseam.seal.SealKeys;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
+import org.junit.jupiter.api.Test;
+
+/** What members tell each other, as bytes. */
+class MessageCodecTest {
+    private static final SealKeys KEYS = SealKeys.read("1 " + "ab".repeat(16) + "\n2 " + "cd".repeat(16));
+    private static final Member A = new Member(new MemberName("a"), new Birth(1_796_163_423_780L), new InetSocketAddress("127.0.0.1", 7946));
+    private static final Member B = new Member(new MemberName("b"), new Birth(2), new InetSocketAddress("::1", 7947));
+    private static final Teller FROM = new Teller(A, 3, new ViewId(1_796_163_423_780L, 12), true);
+    private static final News NEWS = new News(B, 4, Condition.SUSPECT, A.name());
+    private static final Ballot BALLOT = new Ballot(5, A.name(), A.birth());
+    private static final Change CHANGE = new Change(List.of(B), List.of(A));
+    private static final ViewId OF = new ViewId(7, 8);
+    private static final List<Message> ONE_EACH = List.of(new Message.Probe(FROM, -9, B.name(), List.of(NEWS)),
+            new Message.Relay(FROM, 9, B, List.of()), new Message.Answer(FROM, 9, true, List.of(NEWS, NEWS)), new Message.Ask(FROM, null),
+            new Message.Ask(FROM, B.name()), new Message.Part(FROM, List.of(NEWS), true), new Message.NameTaken(FROM, B),
+            new Message.Found(FROM, 1, List.of(A, B)), new Message.Consent(FROM, 1), new Message.Prepare(FROM, OF, BALLOT, List.of(B.name())),
+            new Message.Promise(FROM, OF, BALLOT, null, null, List.of()), new Message.Promise(FROM, OF, BALLOT, BALLOT, CHANGE, List.of(B.name())),
+            new Message.Refuse(FROM, OF, BALLOT, BALLOT), new Message.Accept(FROM, OF, BALLOT, CHANGE), new Message.Accepted(FROM, OF, BALLOT),
+            new Message.Decided(FROM, OF, CHANGE), new Message.AskView(FROM, OF, 48), new Message.ViewPart(FROM, OF, 0, 2, List.of(A, B)));
+    /** A probe as version 1 of the form wrote it, on the day that it was made. */
+    private static final String RECORDED = "bf61760161666372696761"
+            + "6b6550726f6265616dbf6466726f6dbf666d656d626572bf646e616d656161656269727468016761646472657373"
+            + "6e3132372e302e302e317c37393436ff6b696e6361726e6174696f6e006476696577bf646c696e6500666e756d62657200ff686d616a6f72697479f4ff"
+            + "6269640762746f6162646e6577738"
+            + "0ffff";
+
+    private final MessageCodec codec = new MessageCodec("rig", KEYS, 1);
+
+    @Test
+    void everyKindOfMessageComesBackAsItWas() {
+        for (Message message : ONE_EACH) {
+            MessageCodec.Reading read = codec.read(codec.write(message));
+            assertNull(read.refusal(), message.toString());
+            assertEquals(message, read.message());
+        }
+        assertEquals(Message.class.getPermittedSubclasses().length, ONE_EACH.stream().map(Object::getClass).distinct().count());
+    }
+
+    @Test
+    void aRecordedMessageOfTheFirstFormIsRead() {
+        MessageCodec plain = new MessageCodec("rig", null, 0);
+        Message message = plain.read(HexFormat.of().parseHex(RECORDED)).message();
+        Teller teller = new Teller(new Member(new MemberName("a"), new Birth(1), A.address()), 0, ViewId.NONE, false);
+        assertEquals(new Message.Probe(teller, 7, new MemberName("b"), List.of()), message);
+    }
+
+    @Test
+    void fieldsAndKindsOfALaterProgramHarmNothing() throws Exception {
+        CBORMapper cbor = new CBORMapper();
+        MessageCodec plain = new MessageCodec("rig", null, 0);
+        ObjectNode whole = (ObjectNode) cbor.readTree(plain.write(ONE_EACH.get(0)));
+        whole.put("new", "field");
+        ((ObjectNode) whole.path("m")).putArray("more").add(1);
+        ((ObjectNode) whole.path("m").path("from").path("member")).put("rack", "r1");
+        assertEquals(ONE_EACH.get(0), plain.read(cbor.writeValueAsBytes(whole)).message());
+        assertEquals(Refusal.KIND, plain.read(cbor.writeValueAsBytes(whole.put("k", "Later"))).refusal());
+        assertEquals(Refusal.VERSION, plain.read(cbor.writeValueAsBytes(whole.put("v", 2))).refusal());
+    }
+
+    @Test
+    void anotherFleetAnotherKeyAndAForgedOrCutMessageAreRefused() {
+        byte[] bytes = codec.write(ONE_EACH.get(0));
+        MessageCodec other = new MessageCodec("other", KEYS, 1);
+        assertEquals(Refusal.FORGED, other.read(bytes).refusal(), "the fleet's name is under the seal");
+        assertEquals(Refusal.OTHER_FLEET, new MessageCodec("other", null, 0)
+                .read(new MessageCodec("rig", null, 0).write(ONE_EACH.get(0))).refusal());
+        assertEquals(Refusal.KEY_UNKNOWN, new MessageCodec("rig", SealKeys.read("3 " + "ab".repeat(16)), 3).read(bytes).refusal());
+        assertEquals(Refusal.FORGED, new MessageCodec("rig", SealKeys.read("1 " + "ee".repeat(16)), 1).read(bytes).refusal());
+        assertEquals(Refusal.UNSEALED, codec.read(new MessageCodec("rig", null, 0).write(ONE_EACH.get(0))).refusal());
+        assertNotNull(new MessageCodec("rig", KEYS, 2).read(bytes).message(), "both keys count while one is changed for the other");
+        for (int i = 0; i < bytes.length; i++) {
+            byte[] changed = bytes.clone();
+            changed[i] ^= 4;
+            assertNotNull(codec.read(changed).refusal(), "byte " + i);
+            assertNotNull(codec.read(Arrays.copyOf(bytes, i)).refusal(), "cut to " + i);
+        }
+    }
+
+    @Test
+    void whateverBytesComeNothingIsThrownAndNoHalfMessageIsMade() {
+        MessageCodec plain = new MessageCodec("rig", null, 0);
+        SplittableRandom chance = new SplittableRandom(3);
+        int taken = 0;
+        for (int i = 0; i < 40_000; i++) {
+            byte[] bytes = plain.write(ONE_EACH.get(chance.nextInt(ONE_EACH.size())));
+            for (int n = chance.nextInt(4); n >= 0; n--) {
+                bytes[chance.nextInt(bytes.length)] = (byte) chance.nextInt(256);
+            }
+            MessageCodec.Reading read = plain.read(chance.nextInt(4) == 0 ? Arrays.copyOf(bytes, chance.nextInt(bytes.length)) : bytes);
+            assertTrue(read.message() == null != (read.refusal() == null));
+            if (read.message() != null) {
+                assertNotNull(read.message().from().member().address());
+                taken++;
+            }
+        }
+        assertTrue(taken > 100 && taken < 40_000, "some still read: " + taken);
+    }
+
+    @Test
+    void whatIsTooLongIsNeitherWrittenNorRead() {
+        List<Member> many = IntStream.range(0, 1000).mapToObj(i -> new Member(new MemberName("x" + i), A.birth(), A.address())).toList();
+        assertNull(codec.write(new Message.ViewPart(FROM, OF, 0, 1000, many)));
+        assertEquals(Refusal.TOO_LONG, codec.read(new byte[MessageCodec.LARGEST + 1]).refusal());
+        assertNotNull(codec.write(new Message.Accept(FROM, OF, BALLOT, new Change(many.subList(0, 128), many.subList(200, 264)))),
+                "the largest change of a view fits");
+    }
+}
--- a/src/test/java/cobaltseam/mastership/MastershipTest.java
+++ b/src/test/java/cobaltseam/mastership/MastershipTest.java
@@ -14,13 +14,13 @@
 import cobaltseam.dispatch.Moment;
 import cobaltseam.dispatch.Span;
 import cobaltseam.mastership.Fitness.Sign;
+import cobaltseam.vrrp.AdvertSeal;
 import cobaltseam.vrrp.Addresses;
 import cobaltseam.vrrp.Advert;
 import cobaltseam.vrrp.AdvertCodec;
 import cobaltseam.vrrp.Reading.Covers;
 import cobaltseam.vrrp.Refusal;
-import cobaltseam.vrrp.Seal;
-import cobaltseam.vrrp.SealKeys;
+import cobaltseam.seal.SealKeys;
 import org.junit.jupiter.api.Test;
 
 /** Mastership of one dispatcher in time that the tests set. */
@@ -301,7 +301,7 @@
     private static final Span DIFFERENCE = SECOND.times(0.5);
 
     private byte[] sealed(Moment sent, SealKeys keys, int key) {
-        return Seal.write(AdvertCodec.write(advert(200), LOWER, SELF, Covers.MESSAGE), LOWER, SELF, keys, key, sent.us());
+        return AdvertSeal.write(AdvertCodec.write(advert(200), LOWER, SELF, Covers.MESSAGE), LOWER, SELF, keys, key, sent.us());
     }
 
     @Test
--- a/src/test/java/cobaltseam/service/HallTest.java
+++ b/src/test/java/cobaltseam/service/HallTest.java
@@ -33,12 +33,12 @@
 import cobaltseam.standin.HallRig;
 import cobaltseam.standin.HallRig.Plan;
 import cobaltseam.standin.Ledger.End;
+import cobaltseam.vrrp.AdvertSeal;
 import cobaltseam.vrrp.Addresses;
 import cobaltseam.vrrp.Advert;
 import cobaltseam.vrrp.AdvertCodec;
 import cobaltseam.vrrp.Reading.Covers;
-import cobaltseam.vrrp.Seal;
-import cobaltseam.vrrp.SealKeys;
+import cobaltseam.seal.SealKeys;
 import com.fasterxml.jackson.core.JsonFactory;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -278,17 +278,17 @@
             rig.start();
             awaitState(rig, 0, "active");
             // Sealed by the right key in the peer's name, an advert counts.
-            rig.links[1].say(Seal.write(plain, peer, self, keys, 1, now()));
+            rig.links[1].say(AdvertSeal.write(plain, peer, self, keys, 1, now()));
             rig.dispatchers[0].await("higher_heard", 0, SOON_MS);
             awaitState(rig, 0, "active");
             int from = rig.dispatchers[0].lines();
-            byte[] sealed = Seal.write(plain, peer, self, keys, 1, now() - 1_500_000);
+            byte[] sealed = AdvertSeal.write(plain, peer, self, keys, 1, now() - 1_500_000);
             SplittableRandom chance = new SplittableRandom(14);
             for (int i = 0; i < 2000; i++) {
                 byte[] bytes = switch (i % 4) {
                     case 0 -> plain;
                     case 1 -> sealed;
-                    case 2 -> Seal.write(plain, peer, self, keys, 2, now());
+                    case 2 -> AdvertSeal.write(plain, peer, self, keys, 2, now());
                     default -> {
                         byte[] noise = new byte[chance.nextInt(5000)];
                         chance.nextBytes(noise);
@@ -310,7 +310,7 @@
                 rig.dispatchers[0].signal("HUP");
                 rig.dispatchers[0].await("configuration.read", at, SOON_MS);
                 at = rig.dispatchers[0].lines();
-                rig.links[1].say(Seal.write(plain, peer, self, keys, 2, now()));
+                rig.links[1].say(AdvertSeal.write(plain, peer, self, keys, 2, now()));
                 rig.dispatchers[0].await("higher_heard", at, SOON_MS);
                 awaitState(rig, 0, "active");
             }
--- a/src/test/java/cobaltseam/vrrp/AdvertCodecTest.java
+++ b/src/test/java/cobaltseam/vrrp/AdvertCodecTest.java
@@ -13,6 +13,8 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 
+import cobaltseam.seal.Seal;
+import cobaltseam.seal.SealKeys;
 import cobaltseam.vrrp.Reading.Covers;
 import org.junit.jupiter.api.Test;
 
@@ -91,7 +93,7 @@
     void anyBytesAreReadOrRefused() {
         SplittableRandom chance = new SplittableRandom(9568);
         byte[] whole = AdvertCodec.write(new Advert(7, 100, 10, List.of(ip("192.0.2.10"), ip("192.0.2.11"))), FROM, TO, Covers.MESSAGE);
-        byte[] sealed = Seal.write(whole, FROM, TO, KEYS, 2, 42);
+        byte[] sealed = AdvertSeal.write(whole, FROM, TO, KEYS, 2, 42);
         Set<Refusal> seen = EnumSet.noneOf(Refusal.class);
         int read = 0;
         for (int i = 0; i < 1_000_000; i++) {
@@ -116,20 +118,20 @@
     @Test
     void aSealHoldsForItsBytesAddressesAndKeysOnly() {
         byte[] whole = AdvertCodec.write(new Advert(7, 100, 10, List.of(FROM)), FROM, TO, Covers.MESSAGE);
-        byte[] sealed = Seal.write(whole, FROM, TO, KEYS, 2, 42);
+        byte[] sealed = AdvertSeal.write(whole, FROM, TO, KEYS, 2, 42);
         Reading.Whole read = (Reading.Whole) AdvertCodec.read(sealed, FROM, TO);
         assertTrue(read.sealed());
         assertEquals(new Seal.Told(2, 42), Seal.told(sealed, read.length()));
-        assertTrue(Seal.check(sealed, read.length(), FROM, TO, KEYS).isEmpty());
-        assertEquals(Refusal.FORGED, Seal.check(sealed, read.length(), FROM, FROM, KEYS).orElseThrow());
-        assertEquals(Refusal.KEY_UNKNOWN, Seal.check(sealed, read.length(), FROM, TO,
+        assertTrue(AdvertSeal.check(sealed, read.length(), FROM, TO, KEYS).isEmpty());
+        assertEquals(Refusal.FORGED, AdvertSeal.check(sealed, read.length(), FROM, FROM, KEYS).orElseThrow());
+        assertEquals(Refusal.KEY_UNKNOWN, AdvertSeal.check(sealed, read.length(), FROM, TO,
                 SealKeys.read("1 " + "ab".repeat(32))).orElseThrow());
         for (int i = 0; i < sealed.length; i++) {
             byte[] changed = sealed.clone();
             changed[i] ^= 1;
             Reading now = AdvertCodec.read(changed, FROM, TO);
             assertTrue(now instanceof Reading.Refused
-                    || Seal.check(changed, read.length(), FROM, TO, KEYS).isPresent(), "byte " + i);
+                    || AdvertSeal.check(changed, read.length(), FROM, TO, KEYS).isPresent(), "byte " + i);
         }
     }
 
