--- a/src/main/java/cobaltseam/fleet/Relays.java
+++ b/src/main/java/cobaltseam/fleet/Relays.java
@@ -127,27 +127,13 @@
     }
 
     private void rule(int from, int to, byte[] bytes) throws IOException {
-        double now = seconds();
-        double delay = 0;
-        int times = 1;
-        for (Trouble t : troubles) {
-            if (from < 0 || !t.between(from, to, now)) {
-                continue;
-            }
-            switch (t.kind()) {
-                case LOSS, LOSS_IN -> times = chance.nextDouble() < t.size() ? 0 : times;
-                case CUT, ONE_WAY, RING -> times = 0;
-                case DELAY -> delay += t.size() * chance.nextDouble();
-                case DOUBLE -> times = times > 0 && chance.nextDouble() < t.size() ? 2 : times;
-                default -> { }
-            }
-        }
-        kept += times == 0 ? 1 : 0;
-        for (int n = 0; n < times; n++) {
-            if (delay == 0) {
+        Trouble.Fate fate = from < 0 ? new Trouble.Fate(1, 0) : Trouble.fate(troubles, from, to, seconds(), chance);
+        kept += fate.times() == 0 ? 1 : 0;
+        for (int n = 0; n < fate.times(); n++) {
+            if (fate.delayS() == 0) {
                 pass(to, bytes);
             } else if (late.size() < MOST_LATE) {
-                late.add(new Late(System.nanoTime() + (long) (delay * 1e9 * (1 + n)), turns++, to, bytes));
+                late.add(new Late(System.nanoTime() + (long) (fate.delayS() * 1e9 * (1 + n)), turns++, to, bytes));
             }
         }
     }
--- a/src/main/java/cobaltseam/fleet/Trouble.java
+++ b/src/main/java/cobaltseam/fleet/Trouble.java
@@ -69,6 +69,29 @@
         };
     }
 
+    /** What becomes of one datagram: how often it comes, and how much later each time, in seconds. */
+    record Fate(int times, double delayS) {
+    }
+
+    /** The fate of a datagram from one to another at this moment, under all that goes wrong then. */
+    static Fate fate(List<Trouble> troubles, int from, int to, double s, SplittableRandom chance) {
+        int times = 1;
+        double delay = 0;
+        for (Trouble t : troubles) {
+            if (!t.between(from, to, s)) {
+                continue;
+            }
+            switch (t.kind) {
+                case LOSS, LOSS_IN -> times = chance.nextDouble() < t.size ? 0 : times;
+                case CUT, ONE_WAY, RING -> times = 0;
+                case DELAY -> delay += t.size * chance.nextDouble();
+                case DOUBLE -> times = times > 0 && chance.nextDouble() < t.size ? 2 : times;
+                default -> { }
+            }
+        }
+        return new Fate(times, delay);
+    }
+
     private boolean other(int process) {
         return !who.contains(process) && (others.isEmpty() || others.contains(process));
     }
--- a/src/main/java/cobaltseam/fleet/VirtualFleet.java
+++ b/src/main/java/cobaltseam/fleet/VirtualFleet.java
@@ -359,21 +359,9 @@
         if (to == null) {
             return;
         }
-        double delay = 0.0003 + 0.001 * chance.nextDouble();
-        int times = 1;
-        for (Trouble t : troubles) {
-            if (!t.between(from, to, now)) {
-                continue;
-            }
-            switch (t.kind()) {
-                case LOSS, LOSS_IN -> times = chance.nextDouble() < t.size() ? 0 : times;
-                case CUT, ONE_WAY, RING -> times = 0;
-                case DELAY -> delay += t.size() * chance.nextDouble();
-                case DOUBLE -> times = times > 0 && chance.nextDouble() < t.size() ? 2 : times;
-                default -> { }
-            }
-        }
-        for (int n = 0; n < times; n++) {
+        Trouble.Fate fate = Trouble.fate(troubles, from, to, now, chance);
+        double delay = 0.0003 + 0.001 * chance.nextDouble() + fate.delayS();
+        for (int n = 0; n < fate.times(); n++) {
             at(now + delay * (1 + n * chance.nextDouble()), to, processes[to].life, tell.message());
         }
     }
