--- a/src/main/java/cobaltseam/fleet/Checker.java
+++ b/src/main/java/cobaltseam/fleet/Checker.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -45,21 +46,26 @@
         }
     }
 
-    private static long number(String view) {
+    static long number(String view) {
         return Long.parseLong(view.substring(view.indexOf('/') + 1));
     }
 
-    private static String line(String view) {
+    static String line(String view) {
         return view.substring(0, view.indexOf('/'));
     }
 
     /** In one process, numbers of one line only rise. */
     private void numbersRise(List<Happening> happenings) {
         Map<String, Long> highest = new HashMap<>();
+        Set<Integer> resumes = new HashSet<>();
         for (Happening h : happenings) {
-            if (h.view() != null) {
+            if (h.started()) {
+                resumes.add(h.process());
+            } else if (h.view() != null) {
                 Long before = highest.put(h.process() + "#" + h.birth() + line(h.view()), number(h.view()));
-                if (before != null && before >= number(h.view())) {
+                // One that goes on from its folder begins with the view that it had.
+                boolean again = before != null && before == number(h.view()) && resumes.remove(h.process());
+                if (before != null && before >= number(h.view()) && !again) {
                     broken.add("numbers fall: process " + h.process() + " had " + before + " and holds " + h.view() + " at "
                             + h.atS() + " s");
                 }
--- a/src/main/java/cobaltseam/fleet/Fleet.java
+++ b/src/main/java/cobaltseam/fleet/Fleet.java
@@ -67,16 +67,20 @@
     static Verdict real(RealFleet.Plan plan, List<Trouble> troubles, long seed, Path folder) throws IOException, InterruptedException {
         try (RealFleet fleet = new RealFleet(plan, troubles, seed, folder)) {
             fleet.startAll();
+            if (fleet.awaitSettled(REAL_SETTLES_WITHIN) < 0) {
+                return new Verdict(List.of("no first view within " + REAL_SETTLES_WITHIN + " s"), false, -1);
+            }
+            fleet.beginsNow();
             fleet.play();
-            double settled = fleet.awaitSettled(mayLoseMajority(plan.processes(), troubles) ? 10 : REAL_SETTLES_WITHIN);
-            return new Verdict(Checker.check(fleet.happenings(), fleet.live(), true), mayLoseMajority(plan.processes(), troubles), settled);
+            double settled = fleet.awaitSettled(mayLoseMajority(plan.processes(), troubles, plan.folders()) ? 10 : REAL_SETTLES_WITHIN);
+            return new Verdict(Checker.check(fleet.happenings(), fleet.live(), true), settled < 0 && fleet.lostMajority(), settled);
         }
     }
 
     /** Whether so many processes end, each counted once, that those who never ended are no majority. */
-    static boolean mayLoseMajority(int processes, List<Trouble> troubles) {
-        long ended = troubles.stream().filter(t -> t.kind() == Trouble.Kind.KILL || t.kind() == Trouble.Kind.TERM
-                || t.kind() == Trouble.Kind.GONE).flatMap(t -> t.who().stream()).distinct().count();
+    static boolean mayLoseMajority(int processes, List<Trouble> troubles, boolean folders) {
+        long ended = troubles.stream().filter(t -> t.kind().ends()
+                && !(folders && (t.kind() == Trouble.Kind.KILL || t.kind() == Trouble.Kind.TERM))).flatMap(t -> t.who().stream()).distinct().count();
         return processes - ended < processes / 2 + 1;
     }
 
@@ -92,21 +96,32 @@
         int troubles;
         @Option(names = "--script", paramLabel = "FILE", description = "troubles from a file in place of drawn ones")
         Path script;
+        @Option(names = "--folders", description = "each process with a lasting folder; some kills lose it")
+        boolean folders;
+        @Option(names = "--copied-back", description = "with --folders: one kill of a run brings back an old folder in place of that")
+        boolean copiedBack;
         @Option(names = "--real", description = "real processes in place of virtual time")
         boolean real;
         @Option(names = "--folder", paramLabel = "DIR", description = "where real processes leave their logs; default: a new one")
         Path folder;
 
         List<Trouble> drawn(long of, int among) {
-            return script != null ? FleetScript.read(script, among) : Trouble.drawn(among, seconds, troubles, of);
+            return script != null ? FleetScript.read(script, among) : drawn(of, among, troubles);
+        }
+
+        List<Trouble> drawn(long of, int among, int number) {
+            List<Trouble> drawn = Trouble.drawn(among, seconds, number, of);
+            return folders ? Trouble.withFolders(drawn, copiedBack, of) : drawn;
         }
 
         Verdict verdict(List<Trouble> script, int among, long of) throws IOException, InterruptedException {
             if (!real) {
-                return virtual(VirtualFleet.Plan.of(among), script, seconds, of);
+                VirtualFleet.Plan plan = VirtualFleet.Plan.of(among);
+                return virtual(folders ? plan.withFolders() : plan, script, seconds, of);
             }
             Path to = folder == null ? Files.createTempDirectory("fleet") : folder.resolve(Long.toString(of));
-            return real(RealFleet.Plan.of(among), script, of, to);
+            RealFleet.Plan plan = RealFleet.Plan.of(among);
+            return real(folders ? plan.withFolders() : plan, script, of, to);
         }
     }
 
@@ -188,7 +203,7 @@
             int few = 3 + chance.nextInt(MOST_FEW - 2);
             int processes = common.processes > 0 ? common.processes : chance.nextInt(10) == 0 && !common.real ? 3 + chance.nextInt(48) : few;
             List<Trouble> troubles = common.script != null ? common.drawn(seed, processes)
-                    : Trouble.drawn(processes, common.seconds, 1 + chance.nextInt(6), seed);
+                    : common.drawn(seed, processes, 1 + chance.nextInt(6));
             try {
                 Verdict v = common.verdict(troubles, processes, seed);
                 done.incrementAndGet();
@@ -225,7 +240,8 @@
         @Override
         public Integer call() {
             List<Trouble> troubles = common.drawn(common.seed, common.processes);
-            VirtualFleet.Plan plan = VirtualFleet.Plan.of(common.processes);
+            VirtualFleet.Plan all = VirtualFleet.Plan.of(common.processes);
+            VirtualFleet.Plan plan = common.folders ? all.withFolders() : all;
             Shrink<Trouble> shrink = new Shrink<>(t -> virtual(plan, t, common.seconds, common.seed).isBroken(), Trouble::simpler);
             if (!virtual(plan, troubles, common.seconds, common.seed).isBroken()) {
                 throw new BadInput("the whole script breaks nothing: nothing to shrink");
@@ -358,7 +374,7 @@
         private List<Double> real() throws IOException, InterruptedException {
             List<Double> periods = new ArrayList<>();
             SplittableRandom chance = new SplittableRandom(common.seed);
-            RealFleet.Plan plan = new RealFleet.Plan(common.processes, periodMs, 3, Math.min(3, common.processes), "");
+            RealFleet.Plan plan = new RealFleet.Plan(common.processes, periodMs, 3, Math.min(3, common.processes), common.folders);
             Path to = common.folder == null ? Files.createTempDirectory("fleet") : common.folder;
             try (RealFleet fleet = new RealFleet(plan, lossy(), common.seed, to)) {
                 fleet.startAll();
--- a/src/main/java/cobaltseam/fleet/Happening.java
+++ b/src/main/java/cobaltseam/fleet/Happening.java
@@ -8,6 +8,10 @@
  * @param process its number in the fleet; the birth tells which process of that number
  * @param view the view's id, or null where it holds none
  * @param members name and birth of each
+ * @param started whether a process starts here
  */
-public record Happening(double atS, int process, long birth, String view, List<String> members) {
+public record Happening(double atS, int process, long birth, String view, List<String> members, boolean started) {
+    public Happening(double atS, int process, long birth, String view, List<String> members) {
+        this(atS, process, birth, view, members, false);
+    }
 }
--- a/src/main/java/cobaltseam/fleet/RealFleet.java
+++ b/src/main/java/cobaltseam/fleet/RealFleet.java
@@ -10,6 +10,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -23,6 +25,7 @@
 import java.util.stream.IntStream;
 
 import cobaltseam.Main;
+import cobaltseam.hall.KeptCodec;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 
@@ -32,9 +35,13 @@
  */
 public final class RealFleet implements AutoCloseable {
     /** What a fleet is made of. */
-    public record Plan(int processes, int periodMs, double patience, int founders, String more) {
+    public record Plan(int processes, int periodMs, double patience, int founders, boolean folders) {
         public static Plan of(int processes) {
-            return new Plan(processes, 200, 3, Math.min(3, processes), "");
+            return new Plan(processes, 200, 3, Math.min(3, processes), false);
+        }
+
+        public Plan withFolders() {
+            return new Plan(processes, periodMs, patience, founders, true);
         }
     }
 
@@ -55,7 +62,7 @@
     private final Plan plan;
     private final List<Trouble> troubles;
     private final Path folder;
-    private final long since = System.nanoTime();
+    private volatile long since = System.nanoTime();
     private final Relays relays;
     private final One[] all;
     private final int[] ports;
@@ -115,7 +122,26 @@
                 period_ms = %d
                 patience = %s
                 %s
-                """.formatted(text(relays.listensAt(i)), text(relays.seenAt(i)), seeds, founders, plan.periodMs, plan.patience, plan.more));
+                """.formatted(text(relays.listensAt(i)), text(relays.seenAt(i)), seeds, founders, plan.periodMs, plan.patience,
+                plan.folders ? "folder = \"kept\"" : ""));
+    }
+
+    /** Where a process keeps what it promised. */
+    public Path kept(int i) {
+        return folder.resolve(name(i)).resolve("kept");
+    }
+
+    /** Adds lines to the membership of a process's own file, and has it read that. */
+    public void rewrite(int i, String more) throws IOException, InterruptedException {
+        Files.writeString(folder.resolve(name(i)).resolve("cobaltseam.toml"), more + "\n", StandardOpenOption.APPEND);
+        acted("hangup", i);
+        signal(i, "HUP");
+    }
+
+    /** The script's time begins now, and not with the first start: founders that end before there is a view found none. */
+    public void beginsNow() {
+        since = System.nanoTime();
+        relays.since(since);
     }
 
     // ---- processes
@@ -177,6 +203,7 @@
         boolean former = start != one.starts;
         if (event.equals("membership.opened") && !former) {
             one.birth = line.path("birth").asLong();
+            happenings.add(new Happening(now(), i, one.birth, null, List.of(), true));
         } else if (event.equals("membership.view")) {
             String view = line.path("view").asText();
             long birth = line.path("birth").asLong();
@@ -271,6 +298,18 @@
         return live;
     }
 
+    /** Whether less than a majority of the newest view of each line lives: there is no successor, and an operator decides. */
+    public synchronized boolean lostMajority() {
+        Map<String, Happening> newest = new HashMap<>();
+        for (Happening h : happenings) {
+            if (h.view() != null) {
+                newest.merge(Checker.line(h.view()), h, (a, b) -> Checker.number(a.view()) < Checker.number(b.view()) ? b : a);
+            }
+        }
+        Set<String> alive = live().stream().map(Checker.Live::identity).collect(Collectors.toSet());
+        return newest.values().stream().allMatch(h -> h.members().stream().filter(alive::contains).count() < h.members().size() / 2 + 1);
+    }
+
     public synchronized boolean isSettled() {
         Set<Checker.Live> live = live();
         Set<String> alive = live.stream().map(l -> l.name() + "#" + l.birth()).collect(Collectors.toCollection(TreeSet::new));
@@ -364,7 +403,10 @@
                     go(p);
                 }
             }
-            case KILL, GONE, TERM -> {
+            case KILL, GONE, TERM, LOSE, STALE -> {
+                if (t.kind() == Trouble.Kind.STALE && now() >= t.atS() / 2 && done.add(key + "copy")) {
+                    copy(kept(p).resolve(KeptCodec.NAME), folder.resolve(name(p)).resolve("earlier"));
+                }
                 if (during && done.add(key + "end") && isAlive(p)) {
                     if (t.kind() == Trouble.Kind.TERM) {
                         end(p);
@@ -377,6 +419,11 @@
                         all[p].process.destroyForcibly().waitFor();
                     }
                     if (!isAlive(p)) {
+                        if (t.kind() == Trouble.Kind.LOSE) {
+                            Files.deleteIfExists(kept(p).resolve(KeptCodec.NAME));
+                        } else if (t.kind() == Trouble.Kind.STALE) {
+                            copy(folder.resolve(name(p)).resolve("earlier"), kept(p).resolve(KeptCodec.NAME));
+                        }
                         start(p);
                     }
                 }
@@ -385,6 +432,13 @@
         }
     }
 
+    private static void copy(Path from, Path to) throws IOException {
+        if (Files.exists(from)) {
+            Files.createDirectories(to.getParent());
+            Files.copy(from, to, StandardCopyOption.REPLACE_EXISTING);
+        }
+    }
+
     private boolean goneForGood(int p) {
         return troubles.stream().anyMatch(t -> t.kind() == Trouble.Kind.GONE && t.who().contains(p) && t.atS() <= now());
     }
--- a/src/main/java/cobaltseam/fleet/Relays.java
+++ b/src/main/java/cobaltseam/fleet/Relays.java
@@ -39,7 +39,7 @@
     private final Map<SocketAddress, Integer> senders = new HashMap<>();
     private final PriorityQueue<Late> late = new PriorityQueue<>();
     private final SplittableRandom chance;
-    private final long since;
+    private volatile long since;
     private volatile List<Trouble> troubles;
     private long turns;
     private volatile long passed, kept;
@@ -78,6 +78,11 @@
         return heard.get(process);
     }
 
+    /** From when the script's time counts. */
+    void since(long ns) {
+        since = ns;
+    }
+
     long passed() {
         return passed;
     }
--- a/src/main/java/cobaltseam/fleet/Trouble.java
+++ b/src/main/java/cobaltseam/fleet/Trouble.java
@@ -12,6 +12,9 @@
  */
 public record Trouble(Kind kind, double atS, double lengthS, List<Integer> who, List<Integer> others, double size) {
     private static final double SHORTEST_S = 0.1;
+    /** What is drawn; kinds that came later are put in their place by {@link #withFolders}, so that seeds keep their scripts. */
+    private static final List<Kind> DRAWN = List.of(Kind.LOSS, Kind.LOSS_IN, Kind.DELAY, Kind.DOUBLE, Kind.CUT, Kind.ONE_WAY, Kind.RING,
+            Kind.PAUSE, Kind.SLOW, Kind.KILL, Kind.TERM, Kind.GONE);
 
     /** What goes wrong. */
     public enum Kind {
@@ -38,7 +41,16 @@
         /** These are told to end, and start anew at the end without memory. */
         TERM,
         /** These are killed and stay dead. */
-        GONE;
+        GONE,
+        /** These are killed, and start anew at the end; where they have folders, with an empty one. */
+        LOSE,
+        /** These are killed, and start anew at the end; where they have folders, with what was in them half a run before. */
+        STALE;
+
+        /** Whether processes end by it. */
+        boolean ends() {
+            return this == KILL || this == TERM || this == GONE || this == LOSE || this == STALE;
+        }
 
         public String label() {
             return name().toLowerCase(Locale.ROOT);
@@ -110,13 +122,30 @@
         return forms;
     }
 
+    /**
+     * The same where processes have folders: a part of the kills lose the folder, or the first of them that hits one process alone
+     * finds an old one. Against that there is no promise, only that it is seen where a peer can know.
+     */
+    public static List<Trouble> withFolders(List<Trouble> troubles, boolean copiedBack, long seed) {
+        SplittableRandom chance = new SplittableRandom(~seed);
+        List<Trouble> with = new ArrayList<>();
+        boolean old = false;
+        for (Trouble t : troubles) {
+            boolean loses = chance.nextInt(4) == 0 && !copiedBack;
+            boolean stale = copiedBack && !old && t.who.size() == 1 && t.kind == Kind.KILL;
+            old |= stale;
+            Kind kind = t.kind == Kind.KILL && (loses || stale) ? stale ? Kind.STALE : Kind.LOSE : t.kind;
+            with.add(new Trouble(kind, t.atS, t.lengthS, t.who, t.others, t.size));
+        }
+        return with;
+    }
+
     /** Troubles by chance, overlapping, some of them of a whole rack; the same ones from the same seed. */
     public static List<Trouble> drawn(int processes, double seconds, int number, long seed) {
         SplittableRandom chance = new SplittableRandom(seed);
         List<Trouble> troubles = new ArrayList<>();
-        Kind[] kinds = Kind.values();
         for (int i = 0; i < number; i++) {
-            Kind kind = kinds[chance.nextInt(kinds.length)];
+            Kind kind = DRAWN.get(chance.nextInt(DRAWN.size()));
             double at = chance.nextDouble(0.2, 0.7) * seconds;
             double length = chance.nextDouble(0.02, 0.3) * seconds;
             int most = switch (chance.nextInt(4)) {
--- a/src/main/java/cobaltseam/fleet/VirtualFleet.java
+++ b/src/main/java/cobaltseam/fleet/VirtualFleet.java
@@ -19,6 +19,7 @@
 import cobaltseam.dispatch.Span;
 import cobaltseam.membership.Act;
 import cobaltseam.membership.Birth;
+import cobaltseam.membership.Kept;
 import cobaltseam.membership.Member;
 import cobaltseam.membership.MemberName;
 import cobaltseam.membership.Membership;
@@ -26,17 +27,23 @@
 import cobaltseam.membership.Standing;
 import cobaltseam.membership.Terms;
 import cobaltseam.membership.View;
+import cobaltseam.membership.ViewId;
 
 /** A fleet of the real membership in virtual time, under a script of troubles. One seed, one history. */
 public final class VirtualFleet {
     /** What a fleet is made of. */
-    public record Plan(int processes, double periodS, double patience, int founders, double startWithinS, double longestSendS) {
+    public record Plan(int processes, double periodS, double patience, int founders, double startWithinS, double longestSendS,
+                       boolean folders) {
         public static Plan of(int processes) {
-            return new Plan(processes, 1, 2, Math.min(3, processes), 1, 5);
+            return new Plan(processes, 1, 2, Math.min(3, processes), 1, 5, false);
+        }
+
+        public Plan withFolders() {
+            return new Plan(processes, periodS, patience, founders, startWithinS, longestSendS, true);
         }
     }
 
-    private record Event(double at, long turn, int process, long life, Message message) implements Comparable<Event> {
+    private record Event(double at, long turn, int process, long life, Message message, Act.Keep keep) implements Comparable<Event> {
         @Override
         public int compareTo(Event other) {
             int order = Double.compare(at, other.at);
@@ -49,12 +56,20 @@
         /** Which process of this number it is; events of a former one are void. */
         long life;
         boolean alive, started;
+        /** While it is dead: whether it comes back as the same member. */
+        boolean resumes;
         double wake = Double.MAX_VALUE;
+        /** What its folder holds, held half a run before, and is being written. */
+        Kept kept, earlier;
+        Act.Keep writing;
         /** What came while it stood still. */
         final Deque<Message> unread = new ArrayDeque<>();
     }
 
     private static final int PORT = 7946;
+    private static final long TROUBLED = -1;
+    private static final long COPIES = -2;
+    private static final double SLOWEST_WRITE = 0.02;
     private static final int MOST_UNREAD = 4096;
     private final Plan plan;
     private final List<Trouble> troubles;
@@ -87,9 +102,12 @@
         for (Trouble t : troubles) {
             for (int p : t.who()) {
                 switch (t.kind()) {
-                    case KILL, TERM, GONE, PAUSE, SLOW -> {
-                        at(t.atS(), p, -1, null);
-                        at(t.endS(), p, -1, null);
+                    case KILL, TERM, GONE, PAUSE, SLOW, LOSE, STALE -> {
+                        if (t.kind() == Trouble.Kind.STALE) {
+                            at(t.atS() / 2, p, COPIES, null);
+                        }
+                        at(t.atS(), p, TROUBLED, null);
+                        at(t.endS(), p, TROUBLED, null);
                     }
                     default -> { }
                 }
@@ -110,7 +128,7 @@
     }
 
     private void at(double when, int process, long life, Message message) {
-        events.add(new Event(when, turns++, process, life, message));
+        events.add(new Event(when, turns++, process, life, message, null));
     }
 
     private Moment moment() {
@@ -148,6 +166,11 @@
         return processes[i].membership.view();
     }
 
+    /** An operator has a process found another line in place of this view. */
+    public void foundAnew(int i, ViewId said) {
+        carryOut(i, processes[i].membership.foundAnew(said, moment()));
+    }
+
     public int carriers(int i) {
         return processes[i].membership.carriers(moment());
     }
@@ -197,8 +220,19 @@
 
     private void play(Event e) {
         Process p = processes[e.process];
-        if (e.life == -1) {
+        if (e.life == TROUBLED) {
             troubled(e.process);
+        } else if (e.life == COPIES) {
+            p.earlier = p.kept;
+        } else if (e.keep != null) {
+            if (p.alive && stands(e.process)) {
+                // A disk goes on writing while its process stands still; the process hears of it later.
+                events.add(new Event(now + SLOWEST_WRITE, turns++, e.process, e.life, null, e.keep));
+            } else if (p.alive && e.life == p.life && p.writing == e.keep) {
+                p.kept = e.keep.what();
+                p.writing = null;
+                carryOut(e.process, p.membership.kept(e.keep.number()));
+            }
         } else if (e.message != null) {
             if (!p.alive || e.life != p.life) {
                 // Late for a former process: the one that has its address now gets it.
@@ -226,7 +260,7 @@
                     return true;
                 }
                 if (t.kind() == Trouble.Kind.SLOW && now * 10 % 1 > t.size()) {
-                    at(Math.floor(now * 10 + 1) / 10 + 1e-6, i, -1, null);
+                    at(Math.floor(now * 10 + 1) / 10 + 1e-6, i, TROUBLED, null);
                     return true;
                 }
             }
@@ -256,6 +290,7 @@
         Process p = processes[i];
         p.started = true;
         p.alive = true;
+        p.resumes = false;
         p.life++;
         p.unread.clear();
         List<InetSocketAddress> seeds = new ArrayList<>();
@@ -268,8 +303,9 @@
         }
         Terms terms = new Terms(new Span(Math.round(plan.periodS * 1e6)), plan.patience, 3, founders, seeds,
                 new Span(Math.round(plan.longestSendS * 1e6)));
-        p.membership = new Membership(terms, new Member(name(i), new Birth(++births), addresses.get(i)), chance.split());
-        note(i, null);
+        Member self = new Member(name(i), new Birth(++births), addresses.get(i));
+        p.membership = plan.folders ? Membership.lasting(terms, self, p.kept, chance.split()) : new Membership(terms, self, chance.split());
+        happenings.add(new Happening(now, i, p.membership.self().birth().value(), null, List.of(), true));
         carryOut(i, p.membership.start(moment()));
     }
 
@@ -277,12 +313,21 @@
     private void troubled(int i) {
         Process p = processes[i];
         for (Trouble t : troubles) {
-            boolean dies = t.kind() == Trouble.Kind.KILL || t.kind() == Trouble.Kind.TERM || t.kind() == Trouble.Kind.GONE;
+            boolean dies = t.kind().ends();
             if (dies && t.who().contains(i) && Math.abs(t.atS() - now) < 1e-9 && p.alive) {
                 if (t.kind() == Trouble.Kind.TERM && !stands(i)) {
                     carryOut(i, p.membership.leave(moment()));
                 }
                 p.alive = false;
+                if (p.writing != null && chance.nextBoolean()) {
+                    p.kept = p.writing.what();
+                }
+                p.writing = null;
+                p.resumes = plan.folders && p.kept != null && (t.kind() == Trouble.Kind.KILL || t.kind() == Trouble.Kind.TERM);
+                p.kept = t.kind() == Trouble.Kind.LOSE ? null : t.kind() == Trouble.Kind.STALE ? p.earlier : p.kept;
+                newest.values().forEach(this::lost);
+            } else if (t.kind() == Trouble.Kind.GONE && t.who().contains(i) && Math.abs(t.atS() - now) < 1e-9) {
+                p.resumes = false;
                 newest.values().forEach(this::lost);
             } else if (dies && t.kind() != Trouble.Kind.GONE && t.who().contains(i) && Math.abs(t.endS() - now) < 1e-9
                     && !p.alive && !staysDead(i)) {
@@ -304,20 +349,21 @@
 
     /** Whether ever less than a majority of the newest view lived: no successor is possible, and an operator decides. */
     public boolean lostMajority() {
+        newest.values().forEach(this::lost);
         return lostMajority;
     }
 
     private void lost(View view) {
         long live = view.members().stream().filter(m -> {
             Process p = processes[byAddress.get(m.address())];
-            return p.alive && p.membership.self().equals(m);
+            return (p.alive || p.resumes) && p.membership.self().equals(m);
         }).count();
         lostMajority |= live < view.majority();
     }
 
     private boolean staysDead(int i) {
         return troubles.stream().anyMatch(t -> t.who().contains(i) && t.atS() <= now
-                && (t.kind() == Trouble.Kind.GONE || (t.kind() == Trouble.Kind.KILL || t.kind() == Trouble.Kind.TERM) && now < t.endS() - 1e-9));
+                && (t.kind() == Trouble.Kind.GONE || t.kind().ends() && now < t.endS() - 1e-9));
     }
 
     private void note(int i, View view) {
@@ -331,6 +377,9 @@
         for (Act act : acts) {
             if (act instanceof Act.Tell tell) {
                 tell(i, tell);
+            } else if (act instanceof Act.Keep keep) {
+                p.writing = keep;
+                events.add(new Event(now + SLOWEST_WRITE * chance.nextDouble(), turns++, i, p.life, null, keep));
             } else if (act instanceof Act.Installed installed) {
                 note(i, installed.view());
                 View view = installed.view();
--- a/src/main/java/cobaltseam/hall/MessageCodec.java
+++ b/src/main/java/cobaltseam/hall/MessageCodec.java
@@ -71,7 +71,12 @@
         this.keys = keys;
         this.writeKey = writeKey;
         unsaid = fleet.getBytes(StandardCharsets.UTF_8);
-        mapper = CBORMapper.builder().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+        mapper = mapper();
+    }
+
+    /** CBOR of our records, fields by name. */
+    static ObjectMapper mapper() {
+        return CBORMapper.builder().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
                 .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES, DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
                 .addModule(plain()).build();
     }
--- a/src/main/java/cobaltseam/membership/Act.java
+++ b/src/main/java/cobaltseam/membership/Act.java
@@ -8,6 +8,13 @@
     record Tell(InetSocketAddress to, Message message) implements Act {
     }
 
+    /**
+     * To be written to the lasting folder; then {@link Membership#kept} is told its number, or {@link Membership#notKept} that it
+     * can't be. A later one holds all that an earlier one did.
+     */
+    record Keep(long number, Kept what) implements Act {
+    }
+
     /** Another view holds from now on, or none any more. */
     record Installed(View view) implements Act {
     }
@@ -18,7 +25,8 @@
 
     /** What is noted. */
     enum Event {
-        JOINED_SIGHT, SUSPECTED, REFUTED, SEEMS_DEAD, LEFT, RESTARTED, STOOD_STILL, NAME_TAKEN, TAKEN_OUT, LINE_LEFT;
+        JOINED_SIGHT, SUSPECTED, REFUTED, SEEMS_DEAD, LEFT, RESTARTED, STOOD_STILL, NAME_TAKEN, TAKEN_OUT, LINE_LEFT, LINE_ENDED,
+        FOLDER_OLD, FOLDER_LOST, FOUNDED_ANEW, NOT_FOUNDED_ANEW;
 
         public String label() {
             return name().toLowerCase(java.util.Locale.ROOT);
--- a/src/main/java/cobaltseam/membership/Membership.java
+++ b/src/main/java/cobaltseam/membership/Membership.java
@@ -1,7 +1,9 @@
 package cobaltseam.membership;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -64,6 +66,10 @@
     private static final int MOST_REMOVALS = 4096;
     /** Lines that a process may have left; each is a founding, and beyond it none is joined until the next start. */
     private static final int MOST_LINES = 64;
+    /** Messages held back while the folder is written; more are lost, as any datagram may be. */
+    private static final int MOST_WITHHELD = 4096;
+    /** An operator founds anew only if for so many times what is borne nothing was heard of those that are missing. */
+    private static final double SILENT_FOR = 3;
 
     private record Removal(int times, Moment at) {
     }
@@ -101,7 +107,10 @@
      * who still holds them, since what was promised in them is forgotten.
      */
     private final Map<Long, Long> left = new HashMap<>();
-    private boolean takenOut;
+    /** Lines known to have ended, and the view that has no successor. */
+    private final Map<Long, Long> ended = new HashMap<>();
+    /** The view that this process was taken out by, until another holds it or that one is known to have ended. */
+    private View takenOutBy;
     /** Nobody at all is heard; since when there is no majority; and when one last came back after a while. */
     private boolean unheard;
     private Moment minoritySince, healedAt;
@@ -113,6 +122,43 @@
     private final Set<MemberName> consents = new HashSet<>();
     private Birth vowedTo;
     private long vowedAttempt;
+    // the lasting folder
+    private record Withheld(long number, Act act) {
+    }
+
+    private boolean lasting;
+    /** A process that goes on from its folder votes only once a majority was heard, of whom one may know that the folder is old. */
+    private boolean resumed;
+    private long starts;
+    private Kept kept;
+    private long keeps, stored;
+    private final Deque<Withheld> withheld = new ArrayDeque<>();
+    /** How many of the members of the view seem alive, as of what; it is asked for at every message. */
+    private View countedOf;
+    private long countedAt = -1;
+    private int aliveCount;
+
+    /** A process with a lasting folder; {@code former} is what that holds, or null if it is new or was another's. */
+    public static Membership lasting(Terms terms, Member self, Kept former, RandomGenerator chance) {
+        boolean same = former != null && former.self().name().equals(self.name()) && former.self().address().equals(self.address());
+        Member as = same ? former.self() : self;
+        if (former != null && !same && former.self().name().equals(self.name())) {
+            as = new Member(self.name(), new Birth(Math.max(self.birth().value(), former.self().birth().value() + 1)), self.address());
+        }
+        Membership m = new Membership(terms, as, chance);
+        m.lasting = true;
+        m.starts = same ? former.starts() + 1 : 1;
+        m.suspicion.resumes(m.starts);
+        if (same) {
+            m.seat = former.seat();
+            m.vowedTo = former.vowedTo();
+            m.vowedAttempt = former.vowedAttempt();
+            m.left.putAll(former.left());
+            m.ended.putAll(former.ended());
+            m.resumed = former.view() != null;
+        }
+        return m;
+    }
 
     public Membership(Terms terms, Member self, RandomGenerator chance) {
         this.terms = terms;
@@ -156,11 +202,21 @@
     }
 
     private int alive() {
-        int alive = 0;
-        for (Member m : seat.view().members()) {
-            alive += suspicion.alive(m) ? 1 : 0;
+        if (countedOf != seat.view() || countedAt != suspicion.version()) {
+            countedOf = seat.view();
+            countedAt = suspicion.version();
+            aliveCount = 0;
+            for (Member m : seat.view().members()) {
+                aliveCount += suspicion.alive(m) ? 1 : 0;
+            }
         }
-        return alive;
+        return aliveCount;
+    }
+
+    /** Whether all that are known are of the view and seem alive, and the view holds nobody else. */
+    private boolean isWhole() {
+        int members = seat.view().members().size();
+        return alive() == members && suspicion.peers().size() == members - 1;
     }
 
     /**
@@ -201,6 +257,11 @@
         return suspicion.refutesWithin();
     }
 
+    /** Whether what is promised outlives this process. */
+    public boolean isLasting() {
+        return lasting;
+    }
+
     Seat seat() {
         return seat;
     }
@@ -210,6 +271,15 @@
     public List<Act> start(Moment now) {
         started = now;
         suspicion.start(now);
+        if (seat.view() != null) {
+            // From the folder: a member as before, once it has heard from a majority.
+            viewSince = now;
+            suspicion.learn(seat.view().members(), now);
+            suspicion.holds(seat.view().id(), false);
+            confirmFrom = now;
+            suspicion.rollCall(seat.view().members(), now);
+        }
+        tellEnded();
         return done();
     }
 
@@ -234,11 +304,72 @@
     }
 
     private List<Act> done() {
+        if (lasting) {
+            keep();
+        }
         List<Act> what = List.copyOf(acts);
         acts.clear();
         return what;
     }
 
+    // ---- the lasting folder
+
+    /** What others may build on waits until it is on disk; how members seem does not. */
+    private void keep() {
+        boolean same = kept != null && kept.view() == seat.view() && kept.promised() == seat.promised()
+                && kept.accepted() == seat.accepted() && kept.value() == seat.value() && kept.self() == self()
+                && kept.vowedTo() == vowedTo && kept.vowedAttempt() == vowedAttempt && kept.left().equals(left)
+                && kept.ended().equals(ended);
+        if (!same) {
+            kept = new Kept(self(), starts, seat.view(), seat.promised(), seat.accepted(), seat.value(), vowedTo, vowedAttempt, left, ended);
+            keeps++;
+        }
+        if (keeps > stored) {
+            acts.removeIf(a -> {
+                boolean waits = a instanceof Act.Installed || a instanceof Act.Tell t && t.message().binds();
+                if (waits && (a instanceof Act.Installed || withheld.size() < MOST_WITHHELD)) {
+                    withheld.add(new Withheld(keeps, a));
+                }
+                return waits;
+            });
+        }
+        if (!same) {
+            acts.add(0, new Act.Keep(keeps, kept));
+        }
+    }
+
+    /** The folder holds what was given under this number; what waited for it follows. */
+    public List<Act> kept(long number) {
+        stored = Math.max(stored, number);
+        List<Act> what = new ArrayList<>();
+        while (!withheld.isEmpty() && withheld.peek().number <= stored) {
+            Act act = withheld.poll().act;
+            // This process may be another member by now.
+            boolean others = act instanceof Act.Installed i && i.view() != null && !i.view().holds(self().name(), self().birth());
+            if (!others) {
+                what.add(act);
+            }
+        }
+        return what;
+    }
+
+    /**
+     * The folder can't be written. What waited for it was told to nobody; this process goes on as another member that has none, and
+     * the folder holds all that was ever told by the one that it was.
+     */
+    public List<Act> notKept(String why, Moment now) {
+        if (lasting) {
+            lasting = false;
+            withheld.clear();
+            acts.add(new Act.Noted(Event.FOLDER_LOST, self().name(), why));
+            suspicion.beginAnew();
+            if (seat.view() != null) {
+                leaveLine(Event.LINE_LEFT, "its folder is lost", now);
+            }
+        }
+        return done();
+    }
+
     // ---- time
 
     public List<Act> due(Moment now) {
@@ -318,6 +449,11 @@
         }
         if (heard >= seat.view().majority()) {
             confirmFrom = null;
+            if (resumed) {
+                resumed = false;
+                viewSince = now;
+                acts.add(new Act.Installed(seat.view()));
+            }
         }
     }
 
@@ -375,6 +511,9 @@
     }
 
     private Change change(Moment now) {
+        if (isWhole()) {
+            return new Change(List.of(), List.of());
+        }
         List<Member> out = new ArrayList<>();
         List<Member> in = new ArrayList<>();
         View view = seat.view();
@@ -442,9 +581,9 @@
         if (out) {
             // What it had to propose was an earlier choice, and that took this process out.
             step.tells().forEach(t -> acts.add(new Act.Tell(t.to().address(), t.message())));
-            ViewId by = seat.view().id();
+            takenOutBy = seat.view();
             seat = Seat.of(before);
-            leaveLine(Event.TAKEN_OUT, "by view " + by, now);
+            leaveLine(Event.TAKEN_OUT, "by view " + takenOutBy.id(), now);
             return;
         }
         if (seat.view() != before) {
@@ -474,6 +613,7 @@
         ahead = null;
         decided = null;
         viewSince = now;
+        resumed = false;
         suspicion.holds(view == null ? ViewId.NONE : view.id(), standing() == Standing.MAJORITY);
         if (view == null) {
             confirmFrom = null;
@@ -481,6 +621,7 @@
             return;
         }
         suspicion.learn(view.members(), now);
+        takenOutBy = null;
         if (before != null && before.id().line() == view.id().line()) {
             for (Member m : before.members()) {
                 if (!view.holds(m.name(), m.birth())) {
@@ -501,30 +642,69 @@
         acts.add(new Act.Noted(why, self().name(), detail));
         View before = seat.view();
         left.merge(before.id().line(), before.id().number(), Math::max);
-        takenOut = why == Event.TAKEN_OUT;
         seat = new Seat(null, null, null, null, null);
         installed(before, now);
     }
 
     /** A view whose majority has started anew can never have a successor: what they promised is forgotten. */
     private void abandonDead(Moment now) {
-        if (seat.view() == null) {
+        View view = seat.view();
+        if (view == null) {
+            if (takenOutBy != null && isDead(takenOutBy)) {
+                ends(takenOutBy.id());
+                takenOutBy = null;
+            }
             return;
         }
+        boolean notOurs = !view.holds(self().name(), self().birth());
+        if (notOurs) {
+            leaveLine(Event.LINE_LEFT, "view " + view.id() + " holds a former process of this name", now);
+        } else if (!isWhole() && isDead(view)) {
+            ends(view.id());
+            leaveLine(Event.LINE_LEFT, "most members of view " + view.id() + " have started anew", now);
+        }
+    }
+
+    /** Whether so many of a view's members have started anew without memory that it can have no successor. */
+    private boolean isDead(View view) {
         int replaced = 0;
-        for (Member m : seat.view().members()) {
+        for (Member m : view.members()) {
             Peer p = suspicion.peer(m.name());
             boolean self = m.name().equals(self().name());
             replaced += self ? m.birth().equals(self().birth()) ? 0 : 1
                     : p != null && p.member.birth().compareTo(m.birth()) > 0 ? 1 : 0;
         }
-        boolean notOurs = !seat.view().holds(self().name(), self().birth());
-        if (notOurs || seat.view().members().size() - replaced < seat.view().majority()) {
-            leaveLine(Event.LINE_LEFT, replaced + " of " + seat.view().members().size() + " members of view "
-                    + seat.view().id() + " have started anew", now);
+        return view.members().size() - replaced < view.majority();
+    }
+
+    /** Remembers, and from now on tells, that a line has ended: whoever it took out need not wait for it. */
+    private void ends(ViewId last) {
+        Long known = ended.get(last.line());
+        if (last.line() == 0 || known != null && known >= last.number() || known == null && ended.size() >= MOST_LINES) {
+            return;
+        }
+        ended.put(last.line(), last.number());
+        acts.add(new Act.Noted(Event.LINE_ENDED, self().name(), "view " + last + " has no successor"));
+        tellEnded();
+    }
+
+    /** Guards against one that was not told of the last views of its line and waits for members that have left it. */
+    private void leaveEnded(Moment now) {
+        View view = seat.view();
+        if (view != null && hasEnded(view.id()) && (ended.get(view.id().line()) > view.id().number() || standing() == Standing.MINORITY)) {
+            leaveLine(Event.LINE_LEFT, "it has ended", now);
         }
     }
 
+    private void tellEnded() {
+        ended.keySet().stream().max(Long::compare).ifPresent(line -> suspicion.ended(new ViewId(line, ended.get(line))));
+    }
+
+    private boolean hasEnded(ViewId id) {
+        Long last = ended.get(id.line());
+        return last != null && id.number() <= last;
+    }
+
     /**
      * Two lines may live where all founders forgot at once, cut off from the rest, or an operator founded one anew. A process
      * leaves its own for the elder of two that both have their majority, and for any that has one where its own has none.
@@ -591,10 +771,51 @@
 
     /**
      * Whether a view may be held somewhere: by a process that told of one, however dead it seems, or by those that took this
-     * one out. Only a later process of its name shows that a former one holds nothing any more.
+     * one out. Only a later process of its name shows that a former one holds nothing any more, or one who saw the line end.
      */
     private boolean heardOfView() {
-        return takenOut || suspicion.peers().stream().anyMatch(p -> !p.view.equals(ViewId.NONE));
+        return takenOutBy != null && !hasEnded(takenOutBy.id())
+                || suspicion.peers().stream().anyMatch(p -> !p.view.equals(ViewId.NONE) && !hasEnded(p.view));
+    }
+
+    /**
+     * An operator says that the majority of this view is gone for good: this process founds another line, alone, and whoever else is
+     * left of the view comes to it. If the old majority lives after all, its line is the elder and wins.
+     *
+     * @return what follows; among it why not, if the old majority may live
+     */
+    public List<Act> foundAnew(ViewId said, Moment now) {
+        View view = seat.view();
+        Span silent = bears().times(SILENT_FOR);
+        String no = view == null || !view.id().equals(said) ? "it holds view " + (view == null ? "none" : view.id())
+                : standing() != Standing.MINORITY ? "it stands " + standing().label()
+                : minoritySince == null || now.since(minoritySince).compareTo(silent) < 0 ? "a majority was there less than "
+                + silent.us() / 1000 + " ms ago" : missing(view, silent, now);
+        if (no != null) {
+            acts.add(new Act.Noted(Event.NOT_FOUNDED_ANEW, self().name(), "view " + said + ": " + no));
+            return done();
+        }
+        acts.add(new Act.Noted(Event.FOUNDED_ANEW, self().name(), "in place of view " + said));
+        ends(said);
+        leaveLine(Event.LINE_LEFT, "an operator ended the line", now);
+        suspicion.beginAnew();
+        seat = Seat.of(View.of(new ViewId(self().birth().value(), 1), List.of(self())));
+        installed(null, now);
+        return done();
+    }
+
+    /** One that is missing from the view and may live yet, in words; null if there is none. */
+    private String missing(View view, Span silent, Moment now) {
+        for (Member m : view.members()) {
+            Peer p = suspicion.peer(m.name());
+            boolean here = m.name().equals(self().name()) || suspicion.alive(m);
+            boolean gone = p != null && (p.condition.compareTo(Condition.DEAD) >= 0 || !p.member.birth().equals(m.birth()))
+                    && (p.heard == null || now.since(p.heard).compareTo(silent) >= 0 || !p.member.birth().equals(m.birth()));
+            if (!here && !gone) {
+                return m.name() + " may live";
+            }
+        }
+        return null;
     }
 
     private void asked(Found found) {
@@ -623,6 +844,14 @@
         if (!suspicion.isQuiet(now) || message instanceof Message.Part || message instanceof Message.NameTaken) {
             if (suspicion.spoke(from, now)) {
                 suspicion.heard(message, now);
+                ends(from.ended());
+                if (resumed && from.view().after(seat.view().id())) {
+                    // Guards against a folder copied back from an earlier time: what was promised since is not in it.
+                    acts.add(new Act.Noted(Event.FOLDER_OLD, self().name(), "view " + seat.view().id() + ", a peer holds " + from.view()));
+                    suspicion.beginAnew();
+                    leaveLine(Event.LINE_LEFT, "its folder may be an old one", now);
+                }
+                leaveEnded(now);
                 otherLine(from, now);
                 behind(from, now);
                 choice(message, now);
@@ -687,7 +916,7 @@
             highestRound = Math.max(highestRound, Math.min(ballot.round(), Long.MAX_VALUE / 2));
         }
         // One that was taken for another birth by itself holds no seat.
-        return Succession.counts(seat, from, of) && seat.view().holds(self().name(), self().birth());
+        return !resumed && Succession.counts(seat, from, of) && seat.view().holds(self().name(), self().birth());
     }
 
     private void decided(Decided m, Moment now) {
@@ -705,6 +934,7 @@
             seat = Seat.of(next);
             installed(before, now);
         } else if (before != null) {
+            takenOutBy = next;
             leaveLine(Event.TAKEN_OUT, "by view " + next.id(), now);
         }
     }
--- a/src/main/java/cobaltseam/membership/Message.java
+++ b/src/main/java/cobaltseam/membership/Message.java
@@ -8,16 +8,31 @@
  * statement, of others news that any of them can refute.
  */
 public sealed interface Message {
-    /** Who speaks, its incarnation, the view that it holds, and whether a majority of that seems alive to it. */
-    record Teller(Member member, long incarnation, ViewId view, boolean majority) {
+    /**
+     * Who speaks, its incarnation, the view that it holds, whether a majority of that seems alive to it, and the last view of
+     * the youngest line that it knows to have ended.
+     */
+    record Teller(Member member, long incarnation, ViewId view, boolean majority, ViewId ended) {
         public Teller {
             Objects.requireNonNull(member);
             Objects.requireNonNull(view);
+            // Programs before this field do not send it.
+            ended = ended == null ? ViewId.NONE : ended;
+        }
+
+        public Teller(Member member, long incarnation, ViewId view, boolean majority) {
+            this(member, incarnation, view, majority, ViewId.NONE);
         }
     }
 
     Teller from();
 
+    /** Whether others may build on it, so that it has to outlive the process that says it, where that has a lasting folder. */
+    default boolean binds() {
+        return !(this instanceof Probe || this instanceof Relay || this instanceof Answer || this instanceof Ask || this instanceof Part
+                || this instanceof NameTaken || this instanceof AskView);
+    }
+
     /** Asks whether the one asked is this process; carries news. */
     record Probe(Teller from, long id, MemberName to, List<News> news) implements Message {
         public Probe {
--- a/src/main/java/cobaltseam/membership/Suspicion.java
+++ b/src/main/java/cobaltseam/membership/Suspicion.java
@@ -84,6 +84,8 @@
     private static final int FORGET_PERIODS = 120;
     private static final int QUIET_PERIODS = 10;
     private static final int REPROBED = 3;
+    /** Refutations that one start of a member with a folder has; the next start begins above them. */
+    private static final int REFUTATIONS_A_START = 20;
 
     /** What the layer says, as it says it. */
     interface Out {
@@ -109,6 +111,9 @@
     private int width = 1;
     private long rounds;
     private int suspects;
+    private ViewId ended = ViewId.NONE;
+    /** Goes up whenever who is known, or how one seems, changes. */
+    private long version;
 
     Suspicion(Terms terms, Member self, RandomGenerator chance, Out out) {
         this.terms = terms;
@@ -124,7 +129,16 @@
     }
 
     Teller teller() {
-        return new Teller(self, incarnation, view, majority);
+        return new Teller(self, incarnation, view, majority, ended);
+    }
+
+    /** What this process tells of lines that have ended. */
+    void ended(ViewId last) {
+        ended = last;
+    }
+
+    long version() {
+        return version;
     }
 
     /** What this process tells of itself from now on. */
@@ -174,6 +188,16 @@
         promised = now;
     }
 
+    /** This member was so many processes with one folder, this one included. */
+    void resumes(long starts) {
+        incarnation = starts << REFUTATIONS_A_START;
+    }
+
+    /** Which start of a member with a folder an incarnation belongs to; zero without one. */
+    private static long start(long incarnation) {
+        return incarnation >>> REFUTATIONS_A_START;
+    }
+
     /** From now on this is another process: what it promised before is not to be kept to. */
     void beginAnew() {
         self = new Member(self.name(), self.birth().above(self.birth()), self.address());
@@ -310,6 +334,7 @@
         }
         if (rounds % SYNC_ROUNDS == 0) {
             // One that told of a view is kept while none is held here: it says that there is one.
+            version++;
             peers.values().removeIf(p -> p.condition.compareTo(Condition.DEAD) >= 0
                     && (view.line() != 0 || p.view.line() == 0) && now.since(p.since).compareTo(terms.period().times(FORGET_PERIODS)) > 0);
         }
@@ -407,6 +432,7 @@
         suspects += (to == Condition.SUSPECT ? 1 : 0) - (p.condition == Condition.SUSPECT ? 1 : 0);
         if (p.condition != to) {
             p.since = now;
+            version++;
         }
         p.condition = to;
         if (to != Condition.SUSPECT) {
@@ -439,6 +465,7 @@
                 p.condition = Condition.ALIVE;
                 p.since = now;
                 peers.put(m.name(), p);
+                version++;
                 order.add(chance.nextInt(order.size() + 1), p);
                 out.note(Event.JOINED_SIGHT, m.name(), m.address() + " birth " + m.birth());
                 rumours.add(new News(m, p.incarnation, Condition.ALIVE, news.by()));
@@ -497,6 +524,7 @@
     private void replaced(Peer p, Member m, News news, Moment now) {
         out.note(Event.RESTARTED, m.name(), "birth " + m.birth() + " for " + p.member.birth() + " at " + m.address());
         p.member = m;
+        version++;
         p.incarnation = news.incarnation();
         p.heard = null;
         p.view = ViewId.NONE;
@@ -517,6 +545,11 @@
             // A former process here had a later clock: ours comes after it all the same.
             self = new Member(self.name(), self.birth().above(m.birth()), self.address());
             incarnation = 0;
+        } else if (birth == 0 && start(news.incarnation()) > start(incarnation) && start(incarnation) > 0) {
+            // Guards against a folder copied back from an earlier time: a later process has been this member, and may have
+            // promised what this one knows nothing of.
+            out.note(Event.FOLDER_OLD, self.name(), "start " + start(incarnation) + ", peers know " + start(news.incarnation()));
+            beginAnew();
         } else if (news.condition() != Condition.ALIVE && news.incarnation() >= incarnation
                 || news.incarnation() > incarnation) {
             incarnation = news.incarnation() + 1;
@@ -547,7 +580,8 @@
             return false;
         }
         Peer p = peers.get(m.name());
-        if (p != null && m.birth().compareTo(p.member.birth()) < 0) {
+        boolean former = p != null && m.birth().equals(p.member.birth()) && start(t.incarnation()) < start(p.incarnation);
+        if (p != null && m.birth().compareTo(p.member.birth()) < 0 || former) {
             out.tell(m.address(), new Part(teller(), List.of(p.news(self.name())), false));
             return false;
         }
@@ -563,6 +597,7 @@
         }
         if (!m.address().equals(p.member.address())) {
             p.member = m;
+            version++;
         }
         p.heard = now;
         lastHeard = now;
--- a/src/main/java/cobaltseam/membership/ViewId.java
+++ b/src/main/java/cobaltseam/membership/ViewId.java
@@ -19,6 +19,15 @@
         return line == other.line && number > other.number;
     }
 
+    /** From the form that it is written in; null if it is not of that. */
+    public static ViewId read(String text) {
+        if (!text.matches("[0-9a-f]{1,15}/[0-9]{1,18}")) {
+            return null;
+        }
+        int slash = text.indexOf('/');
+        return new ViewId(Long.parseLong(text.substring(0, slash), 16), Long.parseLong(text.substring(slash + 1)));
+    }
+
     @Override
     public String toString() {
         return Long.toHexString(line) + "/" + number;
--- a/src/main/java/cobaltseam/service/Members.java
+++ b/src/main/java/cobaltseam/service/Members.java
@@ -14,12 +14,14 @@
 import cobaltseam.dispatch.Deployment;
 import cobaltseam.dispatch.Moment;
 import cobaltseam.dispatch.Span;
+import cobaltseam.hall.KeptCodec;
 import cobaltseam.hall.MessageCodec;
 import cobaltseam.hall.MessageCodec.Refusal;
 import cobaltseam.hall.PeerSocket;
 import cobaltseam.log.Field;
 import cobaltseam.membership.Act;
 import cobaltseam.membership.Birth;
+import cobaltseam.membership.Kept;
 import cobaltseam.membership.Member;
 import cobaltseam.membership.MemberName;
 import cobaltseam.membership.Membership;
@@ -27,8 +29,11 @@
 import cobaltseam.membership.Standing;
 import cobaltseam.membership.Terms;
 import cobaltseam.membership.View;
+import cobaltseam.membership.ViewId;
 import cobaltseam.service.Counters.Count;
 import cobaltseam.setup.Setup;
+import cobaltseam.store.WholeFile;
+import cobaltseam.store.Writer;
 
 /**
  * This dispatcher among those of its fleet: carries messages between the socket and {@link Membership}, and tells the module over
@@ -40,6 +45,8 @@
     private static final int US_PER_MS = 1000;
 
     private final Setup.Fleet told;
+    /** The view that an operator had this dispatcher found another line for, or null. */
+    private String foundedAnew;
     private final int dispatchersTold;
     private final Commands commands;
     /** Whether mastership tells the module how many dispatchers share the engines; membership then does not. */
@@ -58,6 +65,9 @@
     private Standing standing = Standing.NONE;
     private int sharedOver;
     private boolean broken, open;
+    /** Writes the lasting folder; null where there is none, and then why. */
+    private final Writer writer;
+    private String folderState = "";
 
     Members(Setup.Fleet told, Installation installation, Commands commands, Clients clients, boolean masteredElsewhere, Inbox inbox,
             Clock clock, Deadlines deadlines, Counters counters) {
@@ -81,10 +91,61 @@
         // Later than any earlier process here, if clocks are right; if not, peers say so and it is raised.
         Birth birth = new Birth(Math.max(1, System.currentTimeMillis()));
         Member self = new Member(new MemberName(installation.name()), birth, told.advertise());
-        membership = new Membership(terms, self, new SplittableRandom(installation.seed() ^ System.nanoTime()));
+        SplittableRandom chance = new SplittableRandom(installation.seed() ^ System.nanoTime());
+        WholeFile file = folder();
+        Kept former = file == null ? null : former(file);
+        writer = folderState.isEmpty() ? new Writer(file, this::stored, this::notStored) : null;
+        membership = writer == null ? new Membership(terms, self, chance) : Membership.lasting(terms, self, former, chance);
         clients.shows("members", this::rows);
     }
 
+    // ---- the lasting folder
+
+    /** The folder, where there is one that can be used; else why it is not, and membership goes on without. */
+    private WholeFile folder() {
+        if (told.folder() == null) {
+            folderState = "none";
+            return null;
+        }
+        try {
+            return WholeFile.open(told.folder(), KeptCodec.NAME, KeptCodec.FORMAT);
+        } catch (IOException e) {
+            withoutFolder(String.valueOf(e.getMessage()));
+            return null;
+        }
+    }
+
+    private Kept former(WholeFile file) {
+        try {
+            WholeFile.Reading reading = file.read();
+            Kept former = reading.value() == null ? null : KeptCodec.read(reading.value()).orElse(null);
+            if (reading.found() == WholeFile.Found.LATER) {
+                withoutFolder("written by a later program; it is left as it is");
+            } else if (reading.found() == WholeFile.Found.BROKEN || reading.value() != null && former == null) {
+                LOG.log(Level.WARNING, "what {0} held is not whole: this process is another member", Field.of("folder", told.folder()),
+                        Field.event("membership.folder_broken"));
+            }
+            return former;
+        } catch (IOException e) {
+            withoutFolder(String.valueOf(e.getMessage()));
+            return null;
+        }
+    }
+
+    private void stored(long number) {
+        inbox.post(null, () -> act(() -> membership.kept(number)));
+    }
+
+    private void notStored(String why) {
+        inbox.post(null, () -> act(() -> membership.notKept(why, clock.now())));
+    }
+
+    private void withoutFolder(String why) {
+        folderState = why;
+        LOG.log(Level.WARNING, "membership goes on without the folder {0}: {1}", Field.of("folder", told.folder()),
+                Field.of("reason", why), Field.event("membership.folder_refused"));
+    }
+
     // ---- from the start to the end
 
     void open() throws IOException {
@@ -105,6 +166,23 @@
         if (open) {
             socket.close();
         }
+        if (writer != null) {
+            writer.close();
+        }
+    }
+
+    /** What the own file says now: an operator's founding is heeded, all else waits for the next start. */
+    void renewed(Setup.Fleet now) {
+        boolean anew = now.foundAnew() != null && !now.foundAnew().equals(foundedAnew);
+        if (!now.fixed().equals(told.fixed())) {
+            LOG.log(Level.WARNING, "of [membership] only found_anew is read before the next start", Field.event("configuration.partly"));
+        }
+        if (anew) {
+            act(() -> membership.foundAnew(ViewId.read(now.foundAnew()), clock.now()));
+            // What was refused may be said again in the same words.
+            boolean founded = membership.view() != null && membership.view().id().line() == membership.self().birth().value();
+            foundedAnew = founded ? now.foundAnew() : null;
+        }
     }
 
     // ---- what happens
@@ -167,6 +245,9 @@
     private void carryOut(Act act) {
         if (act instanceof Act.Tell tell) {
             tell(tell);
+        } else if (act instanceof Act.Keep keep) {
+            counters.add(Count.MEMBERSHIP_KEPT);
+            writer.give(keep.number(), () -> KeptCodec.write(keep.what()));
         } else if (act instanceof Act.Installed installed) {
             counters.add(Count.MEMBERSHIP_VIEWS);
             View view = installed.view();
@@ -251,6 +332,8 @@
                 + ms(now, membership.viewSince()) + " ms"});
         rows.add(new String[] {"engines_shared_over", Integer.toString(sharedOver) + (masteredElsewhere ? ", by mastership" : "")});
         rows.add(new String[] {"own_health", membership.health() + " (0 is well)"});
+        rows.add(new String[] {"folder", told.folder() == null ? "none" : told.folder() + (membership.isLasting() ? "" : ", not used: "
+                + (folderState.isEmpty() ? "lost while it ran" : folderState))});
         rows.add(new String[] {"bears_ms", Long.toString(membership.bears().us() / US_PER_MS)});
         for (Membership.Seen seen : membership.seen()) {
             boolean held = view != null && view.holds(seen.member().name(), seen.member().birth());
--- a/src/main/java/cobaltseam/service/Service.java
+++ b/src/main/java/cobaltseam/service/Service.java
@@ -214,7 +214,9 @@
     }
 
     private void renewed(Setup setup) {
-        if ((members != null) != (setup.fleet() != null)) {
+        if (members != null && setup.fleet() != null) {
+            members.renewed(setup.fleet());
+        } else if (members != null || setup.fleet() != null) {
             LOG.log(Level.WARNING, "whether membership is on stays until the next start", Field.event("configuration.partly"));
         }
         if (hall != null && setup.hall() != null) {
--- a/src/main/java/cobaltseam/setup/Setup.java
+++ b/src/main/java/cobaltseam/setup/Setup.java
@@ -2,6 +2,7 @@
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -34,9 +35,20 @@
     public record Seat(Terms terms, InetSocketAddress serve) {
     }
 
-    /** The fleet that this dispatcher is a member of; sealing is null where messages have no seal. */
+    /**
+     * The fleet that this dispatcher is a member of.
+     *
+     * @param folder where it keeps what it promised, or null
+     * @param foundAnew the view whose majority an operator says is gone for good, or null
+     * @param sealing null where messages have no seal
+     */
     public record Fleet(String fleet, InetSocketAddress listen, InetSocketAddress advertise, List<InetSocketAddress> seeds,
-                        List<String> founders, Span period, double patience, int helpers, Sealing sealing) {
+                        List<String> founders, Span period, double patience, int helpers, Path folder, String foundAnew,
+                        Sealing sealing) {
+        /** What is read at the start alone, keys of seals aside. */
+        public Fleet fixed() {
+            return new Fleet(fleet, listen, advertise, seeds, founders, period, patience, helpers, folder, null, null);
+        }
     }
 
     /** The keys of seals, the one to write with, and how much clocks may differ. */
--- a/src/main/java/cobaltseam/setup/SetupReader.java
+++ b/src/main/java/cobaltseam/setup/SetupReader.java
@@ -247,7 +247,8 @@
         told.path("founders").forEach(f -> founders.add(f.asText()));
         return new Setup.Fleet(told.path("fleet").asText(), listen, advertise, List.copyOf(seeds), List.copyOf(founders),
                 new Span(value(told, keys, "period_ms").asLong() * US_PER_MS), value(told, keys, "patience").asDouble(),
-                value(told, keys, "helpers").asInt(), sealing("membership", told.path("seal")));
+                value(told, keys, "helpers").asInt(), told.has("folder") ? beside(told.path("folder").asText()) : null,
+                told.has("found_anew") ? told.path("found_anew").asText() : null, sealing("membership", told.path("seal")));
     }
 
     private static boolean six(InetSocketAddress address) {
@@ -278,14 +279,18 @@
         return new Span(told.asLong(otherwise) * US_PER_MS);
     }
 
+    /** A path in the file counts from the file's own folder. */
+    private Path beside(String name) {
+        return file.toAbsolutePath().getParent().resolve(name);
+    }
+
     private Setup.Sealing sealing(String part, JsonNode told) {
         if (told.isMissingNode()) {
             return null;
         }
         String name = told.path("keys").asText();
-        Path folder = file.toAbsolutePath().getParent();
         try {
-            SealKeys keys = SealKeys.read(Files.readString(folder.resolve(name)));
+            SealKeys keys = SealKeys.read(Files.readString(beside(name)));
             if (!keys.has(told.path("write_key").asInt())) {
                 wrong(part + ".seal.write_key", told.path("write_key"), "the id of a key in " + name + " is allowed.");
             }
--- a/src/test/java/cobaltseam/fleet/RealFleetTest.java
+++ b/src/test/java/cobaltseam/fleet/RealFleetTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
@@ -108,6 +109,81 @@
         }
     }
 
+    @Test
+    void allKilledAtOnceWithFoldersGoOnAndOneThatLostItsFolderIsAnotherMember() throws Exception {
+        try (RealFleet fleet = new RealFleet(RealFleet.Plan.of(4).withFolders(), List.of(), 5, folder)) {
+            fleet.startAll();
+            settles(fleet);
+            String line = fleet.view(0).substring(0, fleet.view(0).indexOf('/'));
+            List<String> before = fleet.members(0);
+            for (int i = 0; i < 4; i++) {
+                fleet.kill(i);
+            }
+            Files.delete(fleet.kept(3).resolve("seat"));
+            Files.write(fleet.kept(2).resolve("seat.new"), new byte[] {1, 2, 3});
+            fleet.startAll();
+            settles(fleet);
+            assertTrue(fleet.view(0).startsWith(line + "/"), fleet.view(0));
+            assertEquals(before.subList(0, 3), fleet.members(0).subList(0, 3), "the same members as before");
+            assertFalse(before.contains(fleet.members(0).get(3)), "no folder, another member");
+            awaitShown(fleet, 1, "standing", "majority");
+        }
+    }
+
+    @Test
+    void anOperatorFoundsAnotherLineOnceAMajorityIsGoneForGood() throws Exception {
+        try (RealFleet fleet = new RealFleet(RealFleet.Plan.of(5), List.of(), 6, folder)) {
+            fleet.startAll();
+            settles(fleet);
+            String old = fleet.view(3);
+            fleet.rewrite(3, "found_anew = \"" + old + "\"");
+            awaitLogged(fleet, 3, "membership.not_founded_anew");
+            assertEquals(old, fleet.view(3), "all live");
+            for (int i = 0; i < 3; i++) {
+                fleet.kill(i);
+            }
+            awaitShown(fleet, 3, "standing", "minority");
+            // Asked for again and again in the same words, it follows once the three were silent for long enough.
+            for (long from = System.nanoTime(); fleet.events(3, "membership.founded_anew") == 0;) {
+                assertTrue(System.nanoTime() - from < LONG_S * 1e9, "not founded: " + show(fleet, 3));
+                fleet.rewrite(3, "");
+                Thread.sleep(500);
+            }
+            settles(fleet);
+            assertEquals(2, fleet.members(4).size());
+            fleet.start(0);
+            settles(fleet);
+            assertEquals(3, fleet.members(4).size(), "whoever comes back is taken in");
+        }
+    }
+
+    private static void awaitLogged(RealFleet fleet, int i, String event) throws InterruptedException {
+        for (long from = System.nanoTime(); fleet.events(i, event) == 0;) {
+            assertTrue(System.nanoTime() - from < LONG_S * 1e9, event);
+            Thread.sleep(20);
+        }
+    }
+
+    @Test
+    void aFolderThatCannotBeWrittenEndsNothing() throws Exception {
+        try (RealFleet fleet = new RealFleet(RealFleet.Plan.of(3).withFolders(), List.of(), 7, folder)) {
+            // Where the folder should be there is a file; and one folder is taken from under a running process.
+            Files.createDirectories(fleet.kept(0).getParent());
+            Files.write(fleet.kept(0), new byte[] {1});
+            fleet.startAll();
+            settles(fleet);
+            awaitLogged(fleet, 0, "membership.folder_refused");
+            for (Path file : List.of(fleet.kept(1).resolve("seat"), fleet.kept(1).resolve("lock"), fleet.kept(1))) {
+                Files.delete(file);
+            }
+            fleet.kill(2);
+            awaitLogged(fleet, 1, "membership.folder_lost");
+            fleet.start(2);
+            settles(fleet);
+            assertTrue(show(fleet, 1).get("folder").contains("not used"), show(fleet, 1).toString());
+        }
+    }
+
     @Test
     void forgedAndForeignDatagramsAreRefusedAndEndNothing() throws Exception {
         try (RealFleet fleet = new RealFleet(RealFleet.Plan.of(3), List.of(), 4, folder)) {
--- a/src/test/java/cobaltseam/fleet/VirtualFleetTest.java
+++ b/src/test/java/cobaltseam/fleet/VirtualFleetTest.java
@@ -9,6 +9,8 @@
 
 import cobaltseam.fleet.Trouble.Kind;
 import cobaltseam.membership.Standing;
+import cobaltseam.membership.View;
+import cobaltseam.membership.ViewId;
 import org.junit.jupiter.api.Test;
 
 /** The hard cases in virtual time, on the real membership: one seed, one history. */
@@ -220,6 +222,98 @@
         assertTrue(fleet.view(0).id().line() > line);
     }
 
+    private static VirtualFleet withFolders(int processes, long seed, Trouble... troubles) {
+        return new VirtualFleet(VirtualFleet.Plan.of(processes).withFolders(), List.of(troubles), seed);
+    }
+
+    @Test
+    void withFoldersAllKilledAtOnceGoOnInTheirLine() {
+        for (int seed = 0; seed < 10; seed++) {
+            VirtualFleet fleet = withFolders(5, seed, trouble(Kind.KILL, 2, 1, first(5)));
+            fleet.run(FORMED - 0.1);
+            View before = fleet.view(0);
+            kept(fleet, FORMED + 60);
+            assertEquals(before, fleet.view(0), "the same members in the same view");
+        }
+    }
+
+    @Test
+    void withAFolderOneThatRestartsFasterThanDetectionChangesNothing() {
+        VirtualFleet fleet = withFolders(5, 8, trouble(Kind.KILL, 0.3, 1, 2));
+        fleet.run(FORMED - 0.1);
+        View before = fleet.view(0);
+        fleet.run(FORMED + 0.3001);
+        assertEquals(Standing.UNSURE, fleet.standing(2), "it may have an old folder: it hears a majority first");
+        kept(fleet, FORMED + 30);
+        assertEquals(before, fleet.view(0));
+    }
+
+    @Test
+    void halfTheFoldersLostAMajorityOfThoseThatRememberGoesOn() {
+        VirtualFleet fleet = withFolders(5, 3, trouble(Kind.KILL, 2, 1, 0, 1, 2), trouble(Kind.LOSE, 2, 1, 3, 4));
+        fleet.run(FORMED - 0.1);
+        long line = fleet.view(0).id().line();
+        kept(fleet, FORMED + 60);
+        assertEquals(line, fleet.view(0).id().line());
+        assertEquals(5, fleet.view(0).members().size());
+    }
+
+    @Test
+    void aFolderCopiedBackMakesAnotherMemberAndNoVoteOfTheFormerOne() {
+        // Process 2 is taken out and comes back between the copy and the kill, so that its copy is of an older view.
+        VirtualFleet fleet = withFolders(5, 4, new Trouble(Kind.PAUSE, 40, 15, List.of(2), List.of(), 1),
+                new Trouble(Kind.STALE, 80, 1, List.of(2), List.of(), 1));
+        fleet.run(79.9);
+        long birth = fleet.view(0).members().get(2).birth().value();
+        kept(fleet, 140);
+        assertTrue(fleet.view(0).members().get(2).birth().value() > birth);
+        assertTrue(fleet.notes().get("folder_old") > 0, fleet.notes().toString());
+    }
+
+    @Test
+    void aMajorityLostInStepsFoundsAnewOnceItsEndIsSeen() {
+        // Of five, two are cut off and taken out, one that is mute is, then one of the last two forgets: the last one sees the line end.
+        for (int seed = 0; seed < 10; seed++) {
+            VirtualFleet fleet = fleet(5, seed, trouble(Kind.CUT, 60, 1, 0, 1), new Trouble(Kind.ONE_WAY, FORMED + 20, 40, List.of(2), List.of(), 1),
+                    new Trouble(Kind.KILL, FORMED + 50, 1, List.of(3), List.of(), 1));
+            fleet.run(FORMED + 49.9);
+            assertEquals(2, fleet.view(4).members().size(), "seed " + seed);
+            long line = fleet.view(4).id().line();
+            kept(fleet, FORMED + 200);
+            assertTrue(fleet.view(4).id().line() > line);
+        }
+    }
+
+    @Test
+    void anOperatorFoundsAnewOnlyOnceTheOldMajorityIsSilentAndTheElderLineWinsIfItLives() {
+        Trouble cut = trouble(Kind.CUT, 100, 1, 3, 4);
+        VirtualFleet fleet = fleet(5, 14, cut, new Trouble(Kind.CUT, FORMED + 30, 30, List.of(0), List.of(1, 2), 1));
+        fleet.run(FORMED + 2);
+        ViewId old = fleet.view(3).id();
+        fleet.foundAnew(3, old);
+        assertEquals(old, fleet.view(3).id(), "too early");
+        fleet.run(FORMED + 60);
+        fleet.foundAnew(3, new ViewId(old.line(), old.number() + 7));
+        fleet.foundAnew(1, fleet.view(1).id());
+        assertEquals(2, fleet.notes().get("not_founded_anew") - 1, "another view, and a majority");
+        fleet.foundAnew(3, old);
+        fleet.run(FORMED + 90);
+        assertTrue(fleet.view(3).id().line() > old.line());
+        assertEquals(fleet.view(3), fleet.view(4), "whoever is left comes to it");
+        assertEquals(2, fleet.view(3).members().size());
+        kept(fleet, FORMED + 200);
+        assertEquals(old.line(), fleet.view(3).id().line(), "the old majority lived after all");
+    }
+
+    @Test
+    void drawnScriptsWithFoldersBreakNothing() {
+        for (long seed = 300_000; seed < 300_060; seed++) {
+            List<Trouble> script = Trouble.withFolders(Trouble.drawn(5, 60, 5, seed), false, seed);
+            Fleet.Verdict v = Fleet.virtual(VirtualFleet.Plan.of(5).withFolders(), script, 60, seed);
+            assertFalse(v.isBroken(), "seed " + seed + ": " + v.broken());
+        }
+    }
+
     @Test
     void twoLinesBecomeOneWhereAllFoundersForgotWhileCutOff() {
         // The three founders start anew and hear nobody of the five that hold their view: they found another line.
--- a/src/test/java/cobaltseam/membership/SuccessionExploration.java
+++ b/src/test/java/cobaltseam/membership/SuccessionExploration.java
@@ -26,7 +26,7 @@
  */
 final class SuccessionExploration {
     /** What may happen, and how often; and what is done wrong on purpose, to see that it is found. */
-    record Bounds(int members, int proposals, int restarts, int doubles, Mutant mutant) {
+    record Bounds(int members, int proposals, int restarts, int doubles, boolean folders, Mutant mutant) {
     }
 
     enum Mutant {
@@ -38,7 +38,9 @@
         /** A voter forgets what it accepted when it promises anew. */
         FORGETS_ACCEPTED,
         /** A voter accepts below what it promised. */
-        IGNORES_PROMISE
+        IGNORES_PROMISE,
+        /** A process goes on from a folder that was not written before its promise was told. */
+        TELLS_BEFORE_IT_IS_KEPT
     }
 
     private record Flying(MemberName to, Message message) {
@@ -119,9 +121,12 @@
                 open.add(with(new World(w.seats, w.births, w.flying, w.proposals - 1, w.restarts, w.doubles), i, step));
             }
             if (w.restarts > 0) {
-                boolean asBefore = bounds.mutant == Mutant.VOTES_AFTER_RESTART;
+                boolean asBefore = bounds.folders || bounds.mutant == Mutant.VOTES_AFTER_RESTART;
                 List<Seat> seats = new ArrayList<>(w.seats);
-                seats.set(i, asBefore ? Seat.of(first) : new Seat(null, null, null, null, null));
+                // From a folder, all but its own try is there again.
+                Seat kept = bounds.mutant == Mutant.TELLS_BEFORE_IT_IS_KEPT
+                        ? seat.view() == null ? seat : Seat.of(seat.view()) : seat.with((Seat.Round) null);
+                seats.set(i, bounds.folders ? kept : asBefore ? Seat.of(first) : new Seat(null, null, null, null, null));
                 List<Birth> births = new ArrayList<>(w.births);
                 births.set(i, asBefore ? births.get(i) : new Birth(births.get(i).value() + 1));
                 open.add(new World(seats, births, w.flying, w.proposals, w.restarts - 1, w.doubles));
@@ -210,13 +215,13 @@
         return flying.stream().sorted(java.util.Comparator.comparing(Flying::toString)).toList();
     }
 
-    /** A line of the table in docs/measures-membership.md for each row of arguments: members, proposals, restarts, doubles, bound. */
+    /** A line of the table in docs/measures-membership.md for each row of arguments: members, proposals, restarts, doubles, bound, folders. */
     public static void main(String[] args) {
         for (String arg : args) {
             int[] n = java.util.Arrays.stream(arg.split(",")).mapToInt(Integer::parseInt).toArray();
-            SuccessionExploration e = new SuccessionExploration(new Bounds(n[0], n[1], n[2], n[3], Mutant.NONE), n[4]);
+            SuccessionExploration e = new SuccessionExploration(new Bounds(n[0], n[1], n[2], n[3], n[5] == 1, Mutant.NONE), n[4]);
             String broken = e.run();
-            System.out.printf("| %d | %d | %d | %d | %d%s | %s |%n", n[0], n[1], n[2], n[3], e.states(), e.states() >= n[4] ? " (bound)" : ", all",
+            System.out.printf("| %d | %d | %d%s | %d | %d%s | %s |%n", n[0], n[1], n[2], n[5] == 1 ? " with folders" : "", n[3], e.states(), e.states() >= n[4] ? " (bound)" : ", all",
                     broken == null ? "none" : broken);
         }
     }
--- a/src/test/java/cobaltseam/membership/SuccessionTest.java
+++ b/src/test/java/cobaltseam/membership/SuccessionTest.java
@@ -40,15 +40,17 @@
 
     @Test
     void noTwoSetsUnderOneNumberWhateverIsLostDoubledOrForgotten() {
-        SuccessionExploration two = new SuccessionExploration(new Bounds(3, 2, 1, 0, Mutant.NONE), MOST_STATES);
-        assertNull(two.run());
-        assertTrue(two.states() > 10_000, "states " + two.states());
+        for (boolean folders : new boolean[] {false, true}) {
+            SuccessionExploration two = new SuccessionExploration(new Bounds(3, 2, 1, 0, folders, Mutant.NONE), MOST_STATES);
+            assertNull(two.run());
+            assertTrue(two.states() > 10_000, "states " + two.states());
+        }
     }
 
     @ParameterizedTest
     @EnumSource(value = Mutant.class, mode = EnumSource.Mode.EXCLUDE, names = "NONE")
     void eachMistakeIsFound(Mutant mutant) {
-        assertNotNull(new SuccessionExploration(new Bounds(3, 2, 1, 0, mutant), MOST_STATES).run(), mutant + " was not found");
+        assertNotNull(new SuccessionExploration(new Bounds(3, 2, 1, 0, mutant == Mutant.TELLS_BEFORE_IT_IS_KEPT, mutant), MOST_STATES).run(), mutant + " was not found");
     }
 
     @Test
