--- a/src/test/java/cobaltseam/dispatch/RulesTest.java
+++ b/src/test/java/cobaltseam/dispatch/RulesTest.java
@@ -147,8 +147,7 @@
             World.profile("here", 1, Repeat.UNIQUED, Scope.LOCATION, false, null, null),
             World.profile("there", 2, Repeat.UNIQUED, Scope.GROUP, false, List.of(new LocationId("l1")), null),
             World.profile("anywhere", 1, Repeat.UNIQUED, Scope.ALL, false, null, null),
-            World.profile("turns", 1, seed % 2 == 0 ? Repeat.REPLAYABLE : Repeat.NON_REPLAYABLE, Scope.ALL, true,
-                    null, null)};
+            World.profile("turns", 1, Repeat.values()[(int) seed % 3], Scope.ALL, true, null, null)};
         for (Profile p : all) {
             profiles.put(p.id(), p);
         }
