Memory learnt from notes of spills; usual latency learnt while reports tell of room

A tap showed why lookups take 3.5 times their estimate on idle engines: 53% of their sends spill (notes of kind 2, told within 5 ms, up to 1.5 times the estimate missing), and 1,281 notes say that one stands behind a load. Ruled out: engines full (none answered full), sick ones (no send failed), the wrong choice (the least busy one in 83%).

Causes in the code: the adapter passed on notes of progress alone; learnNeed learnt from answers that tell a need, which neither new deployment has; and usual latency, once off by more than a quarter, was raised only in steps of 1/512 (`fast` in settle), so that estimates too low for a profile stayed an overload for good.

Changes: notes of spills teach a profile's need where grants are heeded; a send that stands behind a load is called off where another engine has room, and its wait is no evidence; usual latency, and how far the mean lies over it, are learnt fast while reports tell of room. Where no load is reported nothing changes. Both new notes are passed on in the service as well. USUAL_QUANTILE's comment said the opposite of what the code does: 0.3 of the answers lie above.

--- a/src/main/java/cobaltseam/adapter/Adapter.java
+++ b/src/main/java/cobaltseam/adapter/Adapter.java
@@ -106,7 +106,7 @@
                 case "sync" -> instance.listed(f, rosters.getOrDefault(f.whole("ref", 0), List.of()), now);
                 case "withdrawn" -> instance.departed(f, now);
                 case "elapsed" -> instance.elapsed(f);
-                case "change" -> instance.progressed(f, now);
+                case "change" -> instance.noted(f, now);
                 case "check_result", "peer", "first_byte" -> { }
                 default -> throw new BadInput("unknown event '" + name + "'");
             }
--- a/src/main/java/cobaltseam/adapter/Instance.java
+++ b/src/main/java/cobaltseam/adapter/Instance.java
@@ -33,6 +33,9 @@
 
     private static final int HINT_VALID = 1;
     private static final int SHARE_DONE = 1;
+    private static final int SPILLS = 2;
+    private static final int WAITS = 3;
+    private static final double FOR_A_LOAD = 2;
     /** The wire's rank where none is named. */
     private static final int UNHEEDED_RANK = 1;
     private static final int NOTE_MEMORY_STEPS = 4096;
@@ -131,10 +134,20 @@
         dispatcher.departed(new CommandId(f.text("op_id")), now);
     }
 
-    void progressed(Fields f, Moment now) {
-        if (f.whole("what") == SHARE_DONE) {
-            dispatcher.progressed(new CommandId(f.text("op_id")), (int) f.whole("copy", 0),
-                    f.number("amount", 0), now);
+    /** A note of a send that is out. */
+    void noted(Fields f, Moment now) {
+        CommandId id = new CommandId(f.text("op_id"));
+        int send = (int) f.whole("copy", 0);
+        double amount = f.number("amount", 0);
+        switch ((int) f.whole("what")) {
+            case SHARE_DONE -> dispatcher.progressed(id, send, amount, now);
+            case SPILLS -> dispatcher.spills(id, send, amount);
+            case WAITS -> {
+                if (amount == FOR_A_LOAD) {
+                    dispatcher.blocked(id, send, now);
+                }
+            }
+            default -> { }
         }
     }
 
--- a/src/main/java/cobaltseam/deployment/DeploymentReader.java
+++ b/src/main/java/cobaltseam/deployment/DeploymentReader.java
@@ -98,7 +98,8 @@
         }
         return new Deployment.Means(span(told, "tick_us"), (int) limits.whole("most_tries", 1),
                 limits.flag("cancel"), family.flag("ranks_heeded"), limits.flag("retry_after"),
-                new Span(limits.whole("max_retry_after_us", 0)), new Span(family.whole("tells_every_us", 0)));
+                new Span(limits.whole("max_retry_after_us", 0)), new Span(family.whole("tells_every_us", 0)),
+                family.flag("takes_grants"));
     }
 
     private static Span span(Fields f, String name) {
--- a/src/main/java/cobaltseam/dispatch/Deployment.java
+++ b/src/main/java/cobaltseam/dispatch/Deployment.java
@@ -35,8 +35,16 @@
                         Span keyRest, Double furtherFree, Double furtherRatio, Span furtherWindow) {
     }
 
-    /** What a dispatcher may do here, how fine its clock is, and how often progress is told (zero: never). */
+    /**
+     * What a dispatcher may do here, how fine its clock is, how often progress, spills and waits are told
+     * (zero: never), and whether engines heed a grant of memory.
+     */
     public record Means(Span tick, int mostSends, boolean cancels, boolean priorities, boolean comeBack,
-                        Span longestComeBack, Span noteEvery) {
+                        Span longestComeBack, Span noteEvery, boolean grants) {
+        public Means(Span tick, int mostSends, boolean cancels, boolean priorities, boolean comeBack,
+                     Span longestComeBack, Span noteEvery) {
+            this(tick, mostSends, cancels, priorities, comeBack, longestComeBack, noteEvery, true);
+        }
+
     }
 }
--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -54,7 +54,7 @@
     private static final double NEWS = 1.0 / 8;
     /** What is known of all engines together counts as this many answers of one engine. */
     private static final double BELIEF = 1.0;
-    /** The usual latency of a profile is this quantile of its answers, followed in steps that end here. */
+    /** This part of a profile's answers lies above its usual latency, followed in steps that end here. */
     private static final double USUAL_QUANTILE = 0.3;
     private static final double USUAL_STEP = 1.0 / 512;
     /**
@@ -84,7 +84,7 @@
     private int number, dispatchers;
     /** Dispatchers that the engines are shared over: all, or only those that carry traffic now. */
     private double sharers, overShareWorth;
-    private boolean cancels, tellsProgress, priorities;
+    private boolean cancels, tellsProgress, tellsSpills, priorities;
     private Span margin, shortestTarget, longestComeBack, noteEvery;
     private Cold cold;
     /** What rations further sends: the last one is of the settings now, each other of earlier ones. */
@@ -106,6 +106,8 @@
     private final Evidence slow = new Evidence(), failing = new Evidence(), load = new Evidence();
     /** How many times their usual latency the engines' answers take now, at the middle one of them. */
     private double pace = 1;
+    /** Threads in hand on all engines, as reported, over their whole figure; above 1 if none is told. */
+    private double full = WORST;
     /** Sends that may be called off, by when. */
     private final TreeSet<Sent> cuts = new TreeSet<>(
             Comparator.comparingLong((Sent s) -> s.cutAt.us()).thenComparingLong(s -> s.cmd.turn));
@@ -188,6 +190,7 @@
         cancels = told.means().cancels();
         noteEvery = told.means().noteEvery();
         tellsProgress = noteEvery.isPositive() && cancels;
+        tellsSpills = noteEvery.isPositive() && told.means().grants();
         priorities = told.means().priorities();
         margin = told.means().tick().times(2);
         longestComeBack = told.means().comeBack() ? told.means().longestComeBack() : Span.ZERO;
@@ -454,6 +457,41 @@
         cuts.add(sent);
     }
 
+    /** A send spills for want of so much memory: tells its profile's need where answers don't. */
+    public void spills(CommandId id, int send, double missingMb) {
+        Cmd cmd = open.get(id);
+        if (cmd == null || cmd.out == null || cmd.out.number != send || cmd.out.missingMb > 0) {
+            return;
+        }
+        cmd.out.missingMb = missingMb;
+        if (missingMb > 0 && tellsSpills) {
+            learnNeed(cmd.out, -1);
+        }
+    }
+
+    /**
+     * A send stands still while a load holds what it reads. Where another may follow and another engine has
+     * room, it is called off at once, with no work lost. Guards against waits behind loads that last longer
+     * than a quick command's target. Harm: the load was all but done.
+     */
+    public void blocked(CommandId id, int send, Moment now) {
+        Cmd cmd = open.get(id);
+        Sent sent = cmd == null ? null : cmd.out;
+        if (sent == null || sent.number != send) {
+            return;
+        }
+        sent.blocked = true;
+        cmd.blockedAt = sent.engine;
+        if (sent.cutAt != null) {
+            Engine other = choose(cmd, now);
+            if (other != null && other != sent.engine) {
+                cuts.remove(sent);
+                sent.cutAt = now;
+                cuts.add(sent);
+            }
+        }
+    }
+
     /**
      * Over how many dispatchers the engines are shared from now on, where some of those told stand by; at
      * least 1. What all together may send a cold engine stays split over all that were told, so that no
@@ -502,7 +540,7 @@
         if (!myTurn(cmd, now) || cmd.sends > 0 && !furtherAllowed(now)) {
             return null;
         }
-        Engine best = null;
+        Engine best = null, behindLoad = null;
         double most = 0;
         // Ties start at the dispatcher's number, or, so that engines find their data warm, at that of the
         // data set, the same everywhere; not where shares hold no whole command, and so many would herd.
@@ -518,12 +556,14 @@
             // Ranked by what is left of its own share: ranked by what it may borrow, an engine that
             // looks a little faster would draw everything until it is slow.
             double left = Math.floor((share(e, now) - e.threads) / threads(cmd, e)) / e.cores;
-            if (fits(e, cmd, now) && (best == null || left > most)) {
+            if (e == cmd.blockedAt) {
+                behindLoad = fits(e, cmd, now) ? e : null;
+            } else if (fits(e, cmd, now) && (best == null || left > most)) {
                 best = e;
                 most = left;
             }
         }
-        return best;
+        return best == null ? behindLoad : best;
     }
 
     /** Room for the profile's threads, or, where the budget is below them, the draw of the moment. */
@@ -615,7 +655,8 @@
 
     /** Latency to expect at usual speed. */
     private static Span usually(Cmd cmd) {
-        return new Span(1 + Math.round(work(cmd) / cmd.way.threads * cmd.way.usual));
+        double ratio = cmd.way.usual * Math.exp(cmd.way.scatter);
+        return new Span(1 + Math.round(work(cmd) / cmd.way.threads * ratio));
     }
 
     /** Latency to expect at the pace at which the engines answer now. */
@@ -698,7 +739,8 @@
         if (cold(e, now)) {
             e.coldWork -= Math.max(cmd.way.usualWork, work(cmd));
         }
-        return Placement.send(e.id, timeout, priorities ? cmd.way.priority : -1, grant(cmd));
+        sent.grantMb = grant(cmd);
+        return Placement.send(e.id, timeout, priorities ? cmd.way.priority : -1, sent.grantMb);
     }
 
     /**
@@ -710,7 +752,16 @@
         return cmd.way.needs * NEWS < 1 ? 0 : cmd.way.need * cmd.command.memoryMb();
     }
 
-    private static void learnNeed(Way way, double needMb, double estimate) {
+    private void learnNeed(Sent sent, double toldMb) {
+        double estimate = sent.cmd.command.memoryMb();
+        Way way = sent.cmd.way;
+        if (estimate <= 0) {
+            return;
+        }
+        // Untold, what spilled needed what it lacked as well, and what did not needed less than its grant.
+        double granted = sent.grantMb > 0 ? sent.grantMb : estimate;
+        double less = sent.grantMb > 0 ? Math.min(granted, way.need * estimate) * (1 - NEWS) : granted;
+        double needMb = toldMb > 0 ? toldMb : sent.missingMb > 0 ? granted + sent.missingMb : less;
         // Guards against an estimate near zero: no one answer moves the ratio beyond WORST either way.
         double news = Math.max(1 / WORST, Math.min(WORST, needMb / estimate));
         double step = Math.max(NEWS / 4, 1.0 / ++way.needs) * Math.max(way.need, news);
@@ -739,8 +790,11 @@
         meanThreads += (sent.threads - meanThreads) * part;
         meanStay = meanStay.plus(took.minus(meanStay).times(part));
         double ratio = Math.max(1 / WORST, Math.min(WORST, took.over(sent.expected)));
-        if (readLate && outcome.ending() == Ending.ANSWERED && ratio > NEAR) {
-            e.heard = now;
+        boolean answered = outcome.ending() == Ending.ANSWERED;
+        // Late is no news of one that stood behind a load, or that this dispatcher read late.
+        if (ratio > NEAR && (answered && readLate
+                || sent.blocked && (answered || outcome.ending() == Ending.CANCELLED))) {
+            e.heard = answered ? now : e.heard;
             return;
         }
         switch (outcome.ending()) {
@@ -751,8 +805,8 @@
                     learnWork(way, outcome.workDone().isPositive() ? outcome.workDone().us()
                             : (double) way.threads * took.us());
                 }
-                if (outcome.memoryMb() > 0 && sent.cmd.command.memoryMb() > 0) {
-                    learnNeed(way, outcome.memoryMb(), sent.cmd.command.memoryMb());
+                if (outcome.memoryMb() > 0 || tellsSpills && sent.missingMb == 0) {
+                    learnNeed(sent, outcome.memoryMb());
                 }
                 slows(e, way, Math.log(ratio));
                 if (ratio <= NEAR) {
@@ -762,9 +816,14 @@
                 } else if (ratio > SLOW) {
                     fallBack(sent);
                 }
-                double step = ratio > 1 ? USUAL_QUANTILE - 1 : USUAL_QUANTILE;
-                // Guards against a jam that becomes the usual: then only the first answers raise it fast.
-                boolean fast = ++way.answers * NEWS <= 1 || ratio <= 1 || pace <= NEAR;
+                double raw = ratio * Math.exp(way.scatter);
+                if (full <= 1 / NEAR) {
+                    learnScatter(way, Math.log(raw));
+                }
+                double step = raw > 1 ? USUAL_QUANTILE - 1 : USUAL_QUANTILE;
+                // Guards against a jam that becomes the usual: unless reports tell of room, only the first
+                // answers raise it fast. Guards as well against estimates so low that all looks like a jam.
+                boolean fast = ++way.answers * NEWS <= 1 || ratio <= 1 || pace <= NEAR || full <= 1 / NEAR;
                 way.usual *= Math.exp(-step * Math.max(USUAL_STEP, fast ? 1 / (1 / NEWS + way.answers) : 0));
             }
             case TIMED_OUT, CANCELLED -> {
@@ -781,6 +840,17 @@
         }
     }
 
+    /**
+     * How far the mean answer lies over its usual latency while reports tell of room. Guards against rough
+     * estimates, waits and cold data that look like overload or slow engines. Nothing is learnt from full
+     * engines, or where no load is reported, so that a jam does not become the usual. Harm: engines that are
+     * slow for another cause while few commands are in hand.
+     */
+    private static void learnScatter(Way way, double news) {
+        double step = Math.max(NEWS / 4, 1.0 / (1 / NEWS + ++way.calm));
+        way.scatter = Math.max(0, way.scatter + (news - way.scatter) * step);
+    }
+
     /** Gives back half of what was borrowed, once a send: its answer is slow, or overdue and still out. */
     private static void fallBack(Sent sent) {
         if (!sent.slow) {
@@ -840,8 +910,8 @@
         double allFailing = failing.mean(0);
         // Renewed soon, unless all is not usual: then at the stay of a send, so that the threads out come to
         // the share in the mean. Guards against hundreds of dispatchers that fill the engines by chance.
-        double full = load.weight > 0 ? load.sum / load.weight * meanThreads / THREADS_PER_CORE : 0;
-        Span renewal = pace > NEAR || full > 1 / NEAR ? meanStay : meanStay.min(redraw());
+        full = load.weight > 0 ? load.sum / load.weight * meanThreads / THREADS_PER_CORE : WORST;
+        Span renewal = pace > NEAR || load.weight > 0 && full > 1 / NEAR ? meanStay : meanStay.min(redraw());
         double[] slowness = new double[sorted.size()];
         for (int i = 0; i < slowness.length; i++) {
             Engine e = sorted.get(i);
--- a/src/main/java/cobaltseam/dispatch/State.java
+++ b/src/main/java/cobaltseam/dispatch/State.java
@@ -26,6 +26,9 @@
         /** Usual latency over the estimated work a thread; usual work of one command, on one thread. */
         double usual = 1, usualWork;
         long answers, known;
+        /** Logarithm of how far answers lie over that at their mean, while engines have room; how many told. */
+        double scatter;
+        long calm;
         /** How much may be borrowed at an engine that was not heard lately, from 0 to 1. */
         double borrowed;
         /** Memory answers needed, over the estimate where there is one; how many told it. */
@@ -40,6 +43,8 @@
             usualWork = old.usualWork;
             known = old.known;
             answers = old.answers;
+            scatter = old.scatter;
+            calm = old.calm;
             need = old.need;
             needs = old.needs;
             slow.take(old.slow);
@@ -111,6 +116,8 @@
         double density, threadTime;
         int sends;
         Sent out;
+        /** Where a send of it stood still behind a load. */
+        Engine blockedAt;
         /** The first send that may have run: its engine's group and location, and when it left. */
         Moment mayHaveRunSince;
         GroupId group;
@@ -127,7 +134,9 @@
         Moment cutAt;
         Span expected;
         double threads;
-        boolean slow;
+        /** Memory that it was granted, and of that what it was told to lack; a grant of 0 is the engine's. */
+        double grantMb, missingMb;
+        boolean slow, blocked;
     }
 
     /** Commands with one key, in the order taken, and until when the key rests. */
--- a/src/main/java/cobaltseam/service/Commands.java
+++ b/src/main/java/cobaltseam/service/Commands.java
@@ -200,6 +200,17 @@
         }
     }
 
+    @Override
+    public void spills(Send send, double missingMb) {
+        dispatcher.spills(send.command, send.number, missingMb);
+    }
+
+    @Override
+    public void blocked(Send send, Moment now) {
+        dispatcher.blocked(send.command, send.number, now);
+        news = true;
+    }
+
     @Override
     public void ended(Send send, Ending ending, Moment now) {
         InHand c = byId.get(send.command);
--- a/src/main/java/cobaltseam/service/Engines.java
+++ b/src/main/java/cobaltseam/service/Engines.java
@@ -34,6 +34,12 @@
     interface Listener {
         void progressed(Send send, double share, Moment now);
 
+        /** It spills to disk, for want of so many megabytes. */
+        void spills(Send send, double missingMb);
+
+        /** It stands still while a load holds what it reads. */
+        void blocked(Send send, Moment now);
+
         void ended(Send send, Ending ending, Moment now);
     }
 
@@ -44,6 +50,8 @@
     private static final int MOST_UNHEARD = 1 << 21;
     /** A connection idle for more than this part of the time after which engines close it is not used. */
     private static final double IDLE_USED = 0.9;
+    /** The engines' word, in a note of a send that stands still, for one that waits for a load. */
+    private static final double BLOCKED_BY_A_LOAD = 2;
 
     /** One engine of the list. */
     private static final class Machine {
@@ -427,8 +435,17 @@
         switch (answer.word()) {
             case EngineAnswer.STATUS -> {
                 counters.add(Count.NOTES);
-                if ("progress".equals(answer.fields().get("why"))) {
-                    listener.progressed(send, answer.number("v"), c.heard);
+                String why = answer.fields().getOrDefault("why", "");
+                double amount = answer.number("v");
+                switch (why) {
+                    case "progress" -> listener.progressed(send, amount, c.heard);
+                    case "spill_mb" -> listener.spills(send, amount);
+                    case "blocked" -> {
+                        if (amount == BLOCKED_BY_A_LOAD) {
+                            listener.blocked(send, c.heard);
+                        }
+                    }
+                    default -> { }
                 }
             }
             case EngineAnswer.OK -> firstPage(c, send, answer);
