--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -103,7 +103,8 @@
     private Moment promised;
     private boolean readLate;
     /** What outcomes tell of all engines together, and their reported commands in hand, a core. */
-    private final Evidence slow = new Evidence(), failing = new Evidence(), load = new Evidence();
+    private final Evidence slow = new Evidence(), failing = new Evidence(), load = new Evidence(),
+            memory = new Evidence();
     /** How many times their usual latency the engines' answers take now, at the middle one of them. */
     private double pace = 1;
     /** Threads in hand on all engines, as reported, over their whole figure; above 1 if none is told. */
@@ -786,6 +787,9 @@
             e.reported = now;
             load.add(e.inHand / e.cores, NEWS);
         }
+        if (outcome.memoryTaken() >= 0) {
+            memory.add(outcome.memoryTaken(), NEWS);
+        }
         double part = Math.min(1, took.over(shortestTarget)) * NEWS;
         meanThreads += (sent.threads - meanThreads) * part;
         meanStay = meanStay.plus(took.minus(meanStay).times(part));
@@ -884,6 +888,7 @@
         slow.fade(keep);
         failing.fade(keep);
         load.fade(keep);
+        memory.fade(keep);
         ways.values().forEach(w -> w.slow.fade(Math.pow(keep, shortestTarget.over(w.target))));
         for (Engine e : sorted) {
             e.slow.fade(keep);
@@ -911,6 +916,7 @@
         // Renewed soon, unless all is not usual: then at the stay of a send, so that the threads out come to
         // the share in the mean. Guards against hundreds of dispatchers that fill the engines by chance.
         full = load.weight > 0 ? load.sum / load.weight * meanThreads / THREADS_PER_CORE : WORST;
+        full = memory.weight > 0 ? Math.max(full, memory.sum / memory.weight) : full;
         Span renewal = pace > NEAR || load.weight > 0 && full > 1 / NEAR ? meanStay : meanStay.min(redraw());
         double[] slowness = new double[sorted.size()];
         for (int i = 0; i < slowness.length; i++) {
