A slow pace is overload only where reports tell of a thread a core in hand

Causes: tooDear and the renewal of draws looked at pace alone; a pace can be slow for other reasons than full engines (spills, loads, lost answers, bad plans). Change: where load is reported, both act only from LEAST_SHARE of the figure on (one thread a core), where engines may pass their peak; where none is reported, as before.

--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -917,7 +917,8 @@
         // the share in the mean. Guards against hundreds of dispatchers that fill the engines by chance.
         full = load.weight > 0 ? load.sum / load.weight * meanThreads / THREADS_PER_CORE : WORST;
         full = memory.weight > 0 ? Math.max(full, memory.sum / memory.weight) : full;
-        Span renewal = pace > NEAR || load.weight > 0 && full > 1 / NEAR ? meanStay : meanStay.min(redraw());
+        boolean unusual = pace > NEAR && full > LEAST_SHARE || load.weight > 0 && full > 1 / NEAR;
+        Span renewal = unusual ? meanStay : meanStay.min(redraw());
         double[] slowness = new double[sorted.size()];
         for (int i = 0; i < slowness.length; i++) {
             Engine e = sorted.get(i);
@@ -1012,7 +1013,8 @@
         recentTime[at] = time;
         recentDensity[at] = density;
         double pace = pace(cmd.way);
-        return below < all * (1 - NEAR / (pace * pace)) && arrivals * NEWS >= 2;
+        return below < all * (1 - NEAR / (pace * pace)) && arrivals * NEWS >= 2
+                && full > LEAST_SHARE;
     }
 
     /** Without estimates, what answers took tells the usual work of a profile. */
