Grants follow the need from the first answer on, at its 0.9 quantile

Change: the need starts a quarter over the estimate, as the engine's own choice, and moves from the first answer; the quantile is 0.9 in place of 0.8.

--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -76,7 +76,7 @@
     /** A command is compared with this many before it. */
     private static final int RECENT = 64;
     /** A grant of memory covers this quantile of what a profile's answers needed, against the estimate. */
-    private static final double GRANT_QUANTILE = 0.8;
+    private static final double GRANT_QUANTILE = 0.9;
     /** Of what a cold engine may be sent at most, at one thread's work a core, this part is used. */
     private static final double COLD_CAUTION = 0.7;
 
@@ -226,6 +226,7 @@
         w.clientTimeout = p.clientTimeout();
         w.stretch = p.stretch();
         w.usualWork = w.threads * w.target.us() / PATIENCE;
+        w.need = NEAR;
         w.bounds = new Bounds(p.repeat(), p.scope() == null ? Set.of() : Set.of(p.scope()), p.remembered(),
                 p.inOrder(), told.means().mostSends(), told.rules().keyRest(),
                 p.locations() == null ? null : Set.copyOf(p.locations()),
@@ -750,7 +751,7 @@
      * follows; without estimates, or before answers have told, the engine chooses by the profile's need.
      */
     private static double grant(Cmd cmd) {
-        return cmd.way.needs * NEWS < 1 ? 0 : cmd.way.need * cmd.command.memoryMb();
+        return cmd.way.needs == 0 ? 0 : cmd.way.need * cmd.command.memoryMb();
     }
 
     private void learnNeed(Sent sent, double toldMb) {
@@ -765,7 +766,7 @@
         double needMb = toldMb > 0 ? toldMb : sent.missingMb > 0 ? granted + sent.missingMb : less;
         // Guards against an estimate near zero: no one answer moves the ratio beyond WORST either way.
         double news = Math.max(1 / WORST, Math.min(WORST, needMb / estimate));
-        double step = Math.max(NEWS / 4, 1.0 / ++way.needs) * Math.max(way.need, news);
+        double step = Math.max(NEWS / 4, 1.0 / (NEAR + ++way.needs)) * Math.max(way.need, news);
         double moved = way.need + step * (news > way.need ? GRANT_QUANTILE : GRANT_QUANTILE - 1);
         way.need = Math.max(0, Math.min(WORST, moved));
     }
