Loads go first on an engine where others wait for what they hold

Cause: way() gave only the shortest target priority 3, so a load at 1 has a quarter of the cores' and disks' share of each lookup, and holds its data set the longer. Which profiles hold and which wait is in the settings (writes_tables, waits_for_loads) and was not read. Change: what holds a data set has priority 3 where another profile waits.

--- a/src/main/java/cobaltseam/deployment/DeploymentReader.java
+++ b/src/main/java/cobaltseam/deployment/DeploymentReader.java
@@ -24,10 +24,13 @@
     public static Deployment read(Fields told) {
         Fields family = told.object("family_info");
         List<Double> threads = family.numbers("width_by_class");
+        List<Boolean> loads = family.flags("writes_tables");
+        List<Boolean> waits = family.flags("waits_for_loads");
         List<Deployment.Profile> profiles = new ArrayList<>();
         for (Fields f : told.objects("classes")) {
             int index = profiles.size();
-            profiles.add(profile(f, index < threads.size() ? threads.get(index).intValue() : 1));
+            profiles.add(profile(f, index < threads.size() ? threads.get(index).intValue() : 1,
+                    index < loads.size() && loads.get(index), index < waits.size() && waits.get(index)));
         }
         List<Double> cores = family.numbers("cores_by_kind");
         List<Double> memory = family.numbers("ram_of_kind_mb");
@@ -53,7 +56,7 @@
                 means(told, told.object("limits"), family));
     }
 
-    private static Deployment.Profile profile(Fields f, int threads) {
+    private static Deployment.Profile profile(Fields f, int threads, boolean load, boolean waits) {
         String repeat = f.text("repeat");
         String scope = f.text("key_scope", "all");
         return new Deployment.Profile(new ProfileId(f.text("name")), threads, f.number("importance", 1),
@@ -73,7 +76,8 @@
                 },
                 new Span(f.whole("window_us", 0)), f.flag("in_order"),
                 f.has("confined_to") ? f.texts("confined_to").stream().map(LocationId::new).toList() : null,
-                f.has("runs_on") ? f.texts("runs_on").stream().map(KindId::new).toList() : null);
+                f.has("runs_on") ? f.texts("runs_on").stream().map(KindId::new).toList() : null,
+                load, waits);
     }
 
     private static Deployment.Rules rules(Fields f) {
--- a/src/main/java/cobaltseam/deployment/Fields.java
+++ b/src/main/java/cobaltseam/deployment/Fields.java
@@ -165,4 +165,17 @@
         }
         return read;
     }
+
+    public List<Boolean> flags(String name) {
+        List<Boolean> read = new ArrayList<>();
+        if (has(name)) {
+            for (Object item : as(List.class, name, "an array")) {
+                if (!(item instanceof Boolean b)) {
+                    throw new BadInput(where + ": '" + name + "' holds something that is not true or false");
+                }
+                read.add(b);
+            }
+        }
+        return read;
+    }
 }
--- a/src/main/java/cobaltseam/dispatch/Deployment.java
+++ b/src/main/java/cobaltseam/dispatch/Deployment.java
@@ -14,12 +14,19 @@
 
     /**
      * A class of commands. The latency target grows by {@code stretch} times the work over the
-     * threads. Null locations or kinds mean any.
+     * threads. Null locations or kinds mean any. A load holds its data set on its engine until it ends;
+     * commands of profiles that wait, and read that set there, stand still meanwhile.
      */
     public record Profile(ProfileId id, int threads, double benefit, double lateBenefit,
                           Span latencyTarget, double stretch, Span clientTimeout, Repeat repeat,
                           Scope scope, Span remembered, boolean inOrder,
-                          List<LocationId> locations, List<KindId> onKinds) {
+                          List<LocationId> locations, List<KindId> onKinds, boolean load, boolean waits) {
+        public Profile(ProfileId id, int threads, double benefit, double lateBenefit, Span latencyTarget,
+                       double stretch, Span clientTimeout, Repeat repeat, Scope scope, Span remembered,
+                       boolean inOrder, List<LocationId> locations, List<KindId> onKinds) {
+            this(id, threads, benefit, lateBenefit, latencyTarget, stretch, clientTimeout, repeat, scope,
+                    remembered, inOrder, locations, onKinds, false, false);
+        }
     }
 
     /** A kind of machine; a memory of zero is not told. */
--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -231,7 +231,9 @@
                 p.inOrder(), told.means().mostSends(), told.rules().keyRest(),
                 p.locations() == null ? null : Set.copyOf(p.locations()),
                 p.onKinds() == null ? null : Set.copyOf(p.onKinds()));
-        w.priority = w.target.compareTo(shortestTarget) <= 0 ? 3 : 1;
+        // What holds a data set goes first where others wait for that: the sooner it ends, the fewer stand.
+        boolean holds = p.load() && told.profiles().stream().anyMatch(Profile::waits);
+        w.priority = holds || w.target.compareTo(shortestTarget) <= 0 ? 3 : 1;
         return w;
     }
 
