A send behind a load is called off at once, and takes its threads along

Change: called off wherever another engine is allowed; where reports tell of room there, it needs no draw, as its threads go along.

--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -474,9 +474,9 @@
     }
 
     /**
-     * A send stands still while a load holds what it reads. Where another may follow and another engine has
-     * room, it is called off at once, with no work lost. Guards against waits behind loads that last longer
-     * than a quick command's target. Harm: the load was all but done.
+     * A send stands still while a load holds what it reads. Where another may follow on another engine, it
+     * is called off at once, with no work lost. Guards against waits behind loads that last longer than a
+     * quick command's target. Harm: the load was all but done, or no other engine gets room in time.
      */
     public void blocked(CommandId id, int send, Moment now) {
         Cmd cmd = open.get(id);
@@ -486,13 +486,10 @@
         }
         sent.blocked = true;
         cmd.blockedAt = sent.engine;
-        if (sent.cutAt != null) {
-            Engine other = choose(cmd, now);
-            if (other != null && other != sent.engine) {
-                cuts.remove(sent);
-                sent.cutAt = now;
-                cuts.add(sent);
-            }
+        if (sent.cutAt != null && sorted.stream().anyMatch(e -> e != sent.engine && allowed(cmd, e, now))) {
+            cuts.remove(sent);
+            sent.cutAt = now;
+            cuts.add(sent);
         }
     }
 
@@ -581,6 +578,10 @@
                 && roomForAll(e, threads + beyond, now)) {
             budget *= 1 + (sharers - 1) * borrowed(e, cmd.way);
         }
+        // One that stood behind a load takes its threads along, to where reports tell of room for them.
+        if (cmd.blockedAt != null && load.weight > 0 && roomForAll(e, threads, now)) {
+            return true;
+        }
         if (budget < threads) {
             return e.threads == 0 && e.draw < budget / threads;
         }
