Loads tried at each engine once; of engines with as much left one at home goes first

Cause: only the last engine was remembered. Now each engine that held what a command reads is left out for a quarter of its latency target, and a send stays where no other is left.

--- a/src/main/java/cobaltseam/deployment/DeploymentReader.java
+++ b/src/main/java/cobaltseam/deployment/DeploymentReader.java
@@ -53,7 +53,13 @@
         }
         return new Deployment((int) told.whole("position"), (int) told.whole("balancers"), profiles, kinds,
                 shares, told.number("over_share_worth", 1), rules(told.object("rules")),
-                means(told, told.object("limits"), family));
+                means(told, told.object("limits"), family), place(told));
+    }
+
+    private static Deployment.Place place(Fields told) {
+        String zone = told.text("zone", null);
+        boolean costs = told.has("prices") && told.object("prices").number("cross_zone", 0) > 0;
+        return zone == null ? Deployment.Place.UNTOLD : new Deployment.Place(new LocationId(zone), costs);
     }
 
     private static Deployment.Profile profile(Fields f, int threads, boolean load, boolean waits) {
--- a/src/main/java/cobaltseam/dispatch/Deployment.java
+++ b/src/main/java/cobaltseam/dispatch/Deployment.java
@@ -4,7 +4,16 @@
 
 /** What a dispatcher is told of its deployment when it starts; absent figures are null. */
 public record Deployment(int number, int dispatchers, List<Profile> profiles, List<Kind> kinds,
-                         List<Share> shares, double overShareWorth, Rules rules, Means means) {
+                         List<Share> shares, double overShareWorth, Rules rules, Means means, Place place) {
+    public Deployment(int number, int dispatchers, List<Profile> profiles, List<Kind> kinds, List<Share> shares,
+                      double overShareWorth, Rules rules, Means means) {
+        this(number, dispatchers, profiles, kinds, shares, overShareWorth, rules, means, Place.UNTOLD);
+    }
+
+    /** Where this dispatcher stands, if that is told, and whether sends to other locations cost something. */
+    public record Place(LocationId location, boolean crossingCosts) {
+        public static final Place UNTOLD = new Place(null, false);
+    }
 
     /** How often a command may run. */
     public enum Repeat { REPLAYABLE, UNIQUED, NON_REPLAYABLE }
--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -87,6 +87,8 @@
     private boolean cancels, tellsProgress, tellsSpills, priorities;
     private Span margin, shortestTarget, longestComeBack, noteEvery;
     private Cold cold;
+    /** The location whose engines go first of those with as much left; null if untold or unpriced. */
+    private LocationId home;
     /** What rations further sends: the last one is of the settings now, each other of earlier ones. */
     private final List<Ration> rations = new ArrayList<>();
     private final Map<ProfileId, Way> ways = new HashMap<>();
@@ -196,6 +198,7 @@
         margin = told.means().tick().times(2);
         longestComeBack = told.means().comeBack() ? told.means().longestComeBack() : Span.ZERO;
         overShareWorth = told.overShareWorth();
+        home = told.place().crossingCosts() ? told.place().location() : null;
         Deployment.Rules rules = told.rules();
         double multiple = rules.fallMultiple() * COLD_CAUTION / dispatchers;
         cold = new Cold(rules.coldFrom(), rules.warmWithin(), multiple);
@@ -485,14 +488,22 @@
             return;
         }
         sent.blocked = true;
-        cmd.blockedAt = sent.engine;
-        if (sent.cutAt != null && sorted.stream().anyMatch(e -> e != sent.engine && allowed(cmd, e, now))) {
+        cmd.blockedAt = cmd.blockedAt == null ? new HashMap<>() : cmd.blockedAt;
+        cmd.blockedAt.put(sent.engine, now);
+        boolean elsewhere = sorted.stream().anyMatch(e -> !heldThere(cmd, e, now) && allowed(cmd, e, now));
+        if (sent.cutAt != null && elsewhere) {
             cuts.remove(sent);
             sent.cutAt = now;
             cuts.add(sent);
         }
     }
 
+    /** Whether a load holds what the command reads there, as far as known. */
+    private static boolean heldThere(Cmd cmd, Engine e, Moment now) {
+        Moment since = cmd.blockedAt == null ? null : cmd.blockedAt.get(e);
+        return since != null && now.since(since).compareTo(cmd.way.target.times(LEAST_PATIENCE)) < 0;
+    }
+
     /**
      * Over how many dispatchers the engines are shared from now on, where some of those told stand by; at
      * least 1. What all together may send a cold engine stays split over all that were told, so that no
@@ -541,7 +552,7 @@
         if (!myTurn(cmd, now) || cmd.sends > 0 && !furtherAllowed(now)) {
             return null;
         }
-        Engine best = null, behindLoad = null;
+        Engine best = null;
         double most = 0;
         // Ties start at the dispatcher's number, or, so that engines find their data warm, at that of the
         // data set, the same everywhere; not where shares hold no whole command, and so many would herd.
@@ -551,20 +562,20 @@
                 : (int) Math.floorMod(data.value(), Math.max(1L, sorted.size()));
         for (int i = 0; i < sorted.size(); i++) {
             Engine e = sorted.get((start + i) % sorted.size());
-            if (!allowed(cmd, e, now)) {
+            if (!allowed(cmd, e, now) || heldThere(cmd, e, now)) {
                 continue;
             }
             // Ranked by what is left of its own share: ranked by what it may borrow, an engine that
             // looks a little faster would draw everything until it is slow.
             double left = Math.floor((share(e, now) - e.threads) / threads(cmd, e)) / e.cores;
-            if (e == cmd.blockedAt) {
-                behindLoad = fits(e, cmd, now) ? e : null;
-            } else if (fits(e, cmd, now) && (best == null || left > most)) {
+            boolean nearer = best != null && left == most && e.location.equals(home)
+                    && !best.location.equals(home);
+            if (fits(e, cmd, now) && (best == null || left > most || nearer)) {
                 best = e;
                 most = left;
             }
         }
-        return best == null ? behindLoad : best;
+        return best;
     }
 
     /** Room for the profile's threads, or, where the budget is below them, the draw of the moment. */
--- a/src/main/java/cobaltseam/dispatch/State.java
+++ b/src/main/java/cobaltseam/dispatch/State.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Map;
 
 import cobaltseam.dispatch.Dispatcher.Bounds;
 import cobaltseam.dispatch.Dispatcher.Cold;
@@ -116,8 +117,8 @@
         double density, threadTime;
         int sends;
         Sent out;
-        /** Where a send of it stood still behind a load. */
-        Engine blockedAt;
+        /** Where sends of it stood still behind a load, and when; null if none did. */
+        Map<Engine, Moment> blockedAt;
         /** The first send that may have run: its engine's group and location, and when it left. */
         Moment mayHaveRunSince;
         GroupId group;
--- a/src/test/java/cobaltseam/dispatch/MoreTest.java
+++ b/src/test/java/cobaltseam/dispatch/MoreTest.java
@@ -74,6 +74,36 @@
         assertNotEquals(o.engine(), next.engine(), "not behind the same load again");
     }
 
+    @Test
+    void aCommandBehindLoadsEverywhereDoesNotSpendItsSendsInTurn() {
+        // Two engines hold what it reads: going to and fro between them took five sends within milliseconds.
+        World w = world(NOTES, 1, 1, 2);
+        World.Out o = sendOne(w);
+        for (int i = 0; i < 4; i++) {
+            World.Out out = w.out.get(o.command().id());
+            w.dispatcher.blocked(out.command().id(), out.number(), w.now);
+            w.follow();
+            if (w.callOffs.remove(out.command().id())) {
+                w.end(out, Ending.CANCELLED, false);
+            }
+            w.pass(World.TICK);
+        }
+        assertEquals(2, w.sends.size(), "one send to each, and the second stays");
+    }
+
+    @Test
+    void ofEnginesWithAsMuchLeftOneAtHomeGoesFirst() {
+        Deployment told = World.deployment(1, 1, World.RULES, NOTES, World.profile("p", 1));
+        Deployment at = new Deployment(told.number(), told.dispatchers(), told.profiles(), told.kinds(), told.shares(),
+                told.overShareWorth(), told.rules(), told.means(), new Deployment.Place(new LocationId("l1"), true));
+        World w = new World(at, 7);
+        w.list(true, World.up(1), World.up(2), World.up(4), World.up(5));
+        for (int i = 0; i < 2; i++) {
+            World.Out o = sendOne(w);
+            assertEquals(1, o.engine().value() % 3, "engines 1 and 4 stand at l1: " + o.engine());
+        }
+    }
+
     @Test
     void aSendBehindALoadStaysWhereThereIsNoOtherEngine() {
         World w = world(NOTES, 1, 1);
--- a/src/test/java/cobaltseam/emulator/RefereeTest.java
+++ b/src/test/java/cobaltseam/emulator/RefereeTest.java
@@ -162,7 +162,7 @@
 
     @Test
     void commandsForgottenAreSeen() {
-        Referee referee = play(hall(), List.of(), m -> new Mutant(m) {
+        Referee referee = play(hall(), Fault.drawn(hall(), SECONDS, 8, 1), m -> new Mutant(m) {
             private int after;
 
             @Override
