--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -1,34 +1,15 @@
 package cobaltseam.dispatch;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.Comparator;
-import java.util.Deque;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.SplittableRandom;
-import java.util.TreeMap;
-import java.util.TreeSet;
+import java.util.*;
 import java.util.random.RandomGenerator;
-import java.util.stream.Collectors;
-import java.util.stream.Stream;
+import java.util.stream.*;
 
 import cobaltseam.dispatch.Deployment.Profile;
 import cobaltseam.dispatch.Deployment.Repeat;
 import cobaltseam.dispatch.Deployment.Scope;
 import cobaltseam.dispatch.Listing.Standing;
 import cobaltseam.dispatch.Outcome.Ending;
-import cobaltseam.dispatch.State.Cmd;
-import cobaltseam.dispatch.State.Engine;
-import cobaltseam.dispatch.State.Holder;
-import cobaltseam.dispatch.State.Line;
-import cobaltseam.dispatch.State.Ration;
-import cobaltseam.dispatch.State.Sent;
-import cobaltseam.dispatch.State.Way;
+import cobaltseam.dispatch.State.*;
 
 /**
  * All decisions of one dispatcher. Callers hand a new command to {@link #place}, each outcome to
@@ -137,12 +118,10 @@
             return new Bounds(stricter, both, kept, inOrder || o.inOrder, Math.min(mostSends, o.mostSends),
                     keyRest.max(o.keyRest), common(locations, o.locations), common(kinds, o.kinds));
         }
-
         private static <T> Set<T> common(Set<T> one, Set<T> other) {
             return one == null ? other : other == null ? one
                     : one.stream().filter(other::contains).collect(Collectors.toSet());
         }
-
         boolean nowhere() {
             return locations != null && locations.isEmpty() || kinds != null && kinds.isEmpty();
         }
@@ -158,22 +137,18 @@
     /** What outcomes tell of one figure: their sum and number, both fading with time and with news. */
     static final class Evidence {
         double sum, weight;
-
         void add(double news, double step) {
             sum += news - sum * step;
             weight += 1 - weight * step;
         }
-
         void take(Evidence other) {
             sum = other.sum;
             weight = other.weight;
         }
-
         void fade(double keep) {
             sum *= keep;
             weight *= keep;
         }
-
         /** The mean of what was heard, where that is little drawn towards what is otherwise believed. */
         double mean(double believed) {
             return (sum + believed * BELIEF) / (weight + BELIEF);
@@ -186,7 +161,6 @@
         sharers = dispatchers;
         meanStay = shortestTarget;
     }
-
     private void read(Deployment told) {
         number = Math.max(0, told.number());
         dispatchers = Math.max(1, told.dispatchers());
@@ -218,7 +192,6 @@
             holders.put(s.id(), holder);
         }
     }
-
     private Way way(Profile p, Deployment told) {
         Way w = new Way();
         w.index = ways.size();
@@ -260,11 +233,11 @@
 
     /** What to do after an outcome: write nothing, or a final answer. */
     public Placement after(Outcome outcome, Moment now) {
-        Cmd cmd = open.get(outcome.command());
-        if (cmd == null || cmd.out == null || cmd.out.number != outcome.send()) {
+        Sent sent = out(outcome.command(), outcome.send());
+        if (sent == null) {
             return Placement.hold();
         }
-        Sent sent = cmd.out;
+        Cmd cmd = sent.cmd;
         cmd.out = null;
         settle(sent, outcome, now);
         refreshed = null;
@@ -334,12 +307,11 @@
 
     // ---- news
     /**
-     * Moves to other settings at once, whatever is in hand. What was learnt of the engines stays, and of
-     * profiles of the same width; borrowing starts afresh. Of the settings now are: budgets, widths,
-     * benefits, shares. A command taken before keeps its latency target and client timeout, and keeps to
-     * the rules of both: the stricter repeat kind, fewest sends, longest rest of a key, the engines that
-     * both let it go to (with none it is given up at once), both budgets of further sends for the earlier
-     * one's window. An engine that is cold by either keeps to both until it is warm by both.
+     * Moves to other settings at once, whatever is in hand. What was learnt of engines stays, and of profiles
+     * of the same width; borrowing starts afresh. A command taken before keeps its latency target and client
+     * timeout, and to the rules of both: stricter repeat kind, fewest sends, longest rest of a key, engines
+     * that both let it go to (with none it is given up), both budgets of further sends for the earlier one's
+     * window. An engine that is cold by either keeps to both until it is warm by both.
      */
     public void moveTo(Deployment told, Moment now) {
         Map<ProfileId, Way> before = new HashMap<>(ways);
@@ -422,7 +394,6 @@
         engines.values().removeIf(e -> e.standing == Standing.GONE && e.threads == 0 && !cold(e, now));
         sorted = new ArrayList<>(engines.values());
     }
-
     private void sized(Engine e) {
         Deployment.Kind kind = kinds.get(e.kind);
         e.cores = kind == null ? 1 : kind.cores();
@@ -434,7 +405,6 @@
     boolean idle() {
         return open.isEmpty() && held.isEmpty() && sorted.stream().allMatch(e -> e.threads == 0);
     }
-
     private Engine fresh(EngineId id, Moment now) {
         Engine e = new Engine();
         e.id = id;
@@ -450,29 +420,37 @@
      * given the time that it still needs. Harm: a rough note that is far too low costs the work done.
      */
     public void progressed(CommandId id, int send, double share, Moment now) {
-        Cmd cmd = open.get(id);
-        Sent sent = cmd == null ? null : cmd.out;
-        if (sent == null || sent.number != send || sent.cutAt == null || !(share > 0) || !cuts.remove(sent)) {
+        Sent sent = out(id, send);
+        if (sent == null || sent.cutAt == null || !(share > 0)) {
             return;
         }
+        Cmd cmd = sent.cmd;
         Span spent = now.since(sent.at);
         Span rest = spent.times((1 - Math.min(1, share)) / share);
         double pace = Math.max(pace(cmd.way), Math.exp(sent.engine.slowness));
         boolean bad = spent.plus(rest).compareTo(usually(cmd).times(WORST * pace)) > 0;
         // Near its end a rough note tells too little rest: what is all but done was cut for it.
-        sent.cutAt = bad ? now : now.plus(rest.times(PATIENCE).max(spent.times(NEAR - 1)));
-        cuts.add(sent);
+        cutAt(sent, bad ? now : now.plus(rest.times(PATIENCE).max(spent.times(NEAR - 1))));
     }
 
-    /** A send spills for want of so much memory: tells its profile's need where answers don't. */
-    public void spills(CommandId id, int send, double missingMb) {
+    /** The send of this number, if it is out. */
+    private Sent out(CommandId id, int send) {
         Cmd cmd = open.get(id);
-        if (cmd == null || cmd.out == null || cmd.out.number != send || cmd.out.missingMb > 0) {
-            return;
+        return cmd == null || cmd.out == null || cmd.out.number != send ? null : cmd.out;
+    }
+    private void cutAt(Sent sent, Moment when) {
+        if (cuts.remove(sent)) {
+            sent.cutAt = when;
+            cuts.add(sent);
         }
-        cmd.out.missingMb = missingMb;
-        if (missingMb > 0 && tellsSpills) {
-            learnNeed(cmd.out, -1);
+    }
+
+    /** A send spills for want of so much memory: tells its profile's need where answers don't. */
+    public void spills(CommandId id, int send, double missingMb) {
+        Sent sent = out(id, send);
+        if (sent != null && sent.missingMb == 0 && missingMb > 0 && tellsSpills) {
+            sent.missingMb = missingMb;
+            learnNeed(sent, -1);
         }
     }
 
@@ -482,19 +460,16 @@
      * quick command's target. Harm: the load was all but done, or no other engine gets room in time.
      */
     public void blocked(CommandId id, int send, Moment now) {
-        Cmd cmd = open.get(id);
-        Sent sent = cmd == null ? null : cmd.out;
-        if (sent == null || sent.number != send) {
+        Sent sent = out(id, send);
+        if (sent == null) {
             return;
         }
+        Cmd cmd = sent.cmd;
         sent.blocked = true;
         cmd.blockedAt = cmd.blockedAt == null ? new HashMap<>() : cmd.blockedAt;
         cmd.blockedAt.put(sent.engine, now);
-        boolean elsewhere = sorted.stream().anyMatch(e -> !heldThere(cmd, e, now) && allowed(cmd, e, now));
-        if (sent.cutAt != null && elsewhere) {
-            cuts.remove(sent);
-            sent.cutAt = now;
-            cuts.add(sent);
+        if (sorted.stream().anyMatch(e -> !heldThere(cmd, e, now) && allowed(cmd, e, now))) {
+            cutAt(sent, now);
         }
     }
 
@@ -522,17 +497,13 @@
      */
     public Span withdrawn(CommandId id, Moment now) {
         Cmd cmd = open.get(id);
-        if (cmd == null) {
-            return null;
-        }
-        cmd.drop = true;
-        if (cmd.out == null) {
-            return null;
-        }
-        if (cmd.out.cutAt != null) {
-            cuts.remove(cmd.out);
+        if (cmd != null) {
+            cmd.drop = true;
+            if (cmd.out != null && cmd.out.cutAt != null) {
+                cuts.remove(cmd.out);
+            }
         }
-        return longest(cmd, now);
+        return cmd == null || cmd.out == null ? null : longest(cmd, now);
     }
 
     /** The client has left: nothing more is owed for the command. */
@@ -568,9 +539,8 @@
             // Ranked by what is left of its own share: ranked by what it may borrow, an engine that
             // looks a little faster would draw everything until it is slow.
             double left = Math.floor((share(e, now) - e.threads) / threads(cmd, e)) / e.cores;
-            boolean nearer = best != null && left == most && e.location.equals(home)
-                    && !best.location.equals(home);
-            if (fits(e, cmd, now) && (best == null || left > most || nearer)) {
+            if (fits(e, cmd, now) && (best == null || left > most
+                    || left == most && e.location.equals(home) && !best.location.equals(home))) {
                 best = e;
                 most = left;
             }
@@ -640,7 +610,6 @@
         }
         return e.cold.from + (1 - e.cold.from) * Math.max(0, now.since(e.started).over(e.cold.within));
     }
-
     private boolean cold(Engine e, Moment now) {
         return e.started.us() > 0 && now.since(e.started).compareTo(e.cold.within) < 0;
     }
@@ -658,7 +627,6 @@
         e.draw = chance.nextDouble();
         e.drawn = now;
     }
-
     private Span redraw() {
         return shortestTarget.times(1 / DRAWS_PER_TARGET);
     }
@@ -696,7 +664,6 @@
         Moment inTime = cmd.targetAt.minus(expected);
         return inTime.before(last) ? inTime : last;
     }
-
     private boolean lost(Cmd cmd, Moment now) {
         return cmd.drop || !repeatable(cmd, now) || !now.before(cmd.giveUpAt);
     }
@@ -715,7 +682,6 @@
         }
         return timeout.min(longest(cmd, now));
     }
-
     private static boolean mayFollow(Cmd cmd) {
         return cmd.sends < cmd.bounds.mostSends && cmd.bounds.repeat == Repeat.REPLAYABLE;
     }
@@ -728,7 +694,6 @@
         }
         return left.max(margin);
     }
-
     private Placement send(Cmd cmd, Engine e, Moment now) {
         held.remove(cmd);
         Sent sent = new Sent();
@@ -760,14 +725,12 @@
     }
 
     /**
-     * Memory for a send: the estimate, times what the profile's answers needed over theirs at a high
-     * quantile. Guards against spills where estimates lie low for a profile, which the engine's own choice
-     * follows; without estimates, or before answers have told, the engine chooses by the profile's need.
+     * Memory for a send: the estimate, times what answers of the profile needed over theirs at a high
+     * quantile. Guards against spills where estimates lie low; without them the engine chooses.
      */
     private static double grant(Cmd cmd) {
         return cmd.way.needs == 0 ? 0 : cmd.way.need * cmd.command.memoryMb();
     }
-
     private void learnNeed(Sent sent, double toldMb) {
         double estimate = sent.cmd.command.memoryMb();
         Way way = sent.cmd.way;
@@ -861,9 +824,8 @@
 
     /**
      * How far the mean answer lies over its usual latency while reports tell of room. Guards against rough
-     * estimates, waits and cold data that look like overload or slow engines. Nothing is learnt from full
-     * engines, or where no load is reported, so that a jam does not become the usual. Harm: engines that are
-     * slow for another cause while few commands are in hand.
+     * estimates and cold data that look like overload; full engines teach nothing, so that no jam becomes
+     * the usual. Harm: engines that are slow for another cause while few commands are in hand.
      */
     private static void learnScatter(Way way, double news) {
         double step = Math.max(NEWS / 4, 1.0 / (1 / NEWS + ++way.calm));
@@ -885,12 +847,10 @@
         way.slow.add(news, NEWS / 4);
         slow.add(Math.min(news, Math.log(SLOW)), NEWS);
     }
-
     private void fails(Engine e, double news) {
         e.failing.add(news, NEWS);
         failing.add(news, NEWS);
     }
-
     private void fade(Moment now) {
         if (now.equals(judged)) {
             return;
@@ -1001,7 +961,6 @@
         line(cmd);
         return cmd;
     }
-
     private void line(Cmd cmd) {
         if (cmd.bounds.inOrder && cmd.command.key() != null) {
             lines.computeIfAbsent(cmd.command.key(), k -> new Line()).queue.addLast(cmd);
@@ -1036,7 +995,6 @@
     private static void learnWork(Way way, double work) {
         way.usualWork += (work - way.usualWork) * Math.max(NEWS / 4, 1.0 / ++way.known);
     }
-
     private void hold(Cmd cmd) {
         cmd.giveUpAt = giveUpAt(cmd);
         cmd.threadTime = cmd.way.threads * (double) expected(cmd).us();
@@ -1110,11 +1068,9 @@
         Line line = lines.get(cmd.command.key());
         return line.queue.peekFirst() == cmd && (cmd.sends > 0 || rested(line, now));
     }
-
     private static boolean rested(Line line, Moment now) {
         return line == null || line.restUntil == null || !now.before(line.restUntil);
     }
-
     private boolean furtherAllowed(Moment now) {
         forget(now);
         return rations.stream().allMatch(r -> {
