--- a/src/main/java/cobaltseam/adapter/Instance.java
+++ b/src/main/java/cobaltseam/adapter/Instance.java
@@ -45,7 +45,6 @@
     private final boolean subscribes;
     private final int queueAt;
     private final int inHandAt;
-    private final int memoryAt;
     private List<Message> reply;
     private long timers;
     private Moment wake;
@@ -58,7 +57,6 @@
                 ? told.object("load_report").texts("fields") : List.of();
         queueAt = reported.indexOf(DeploymentReader.QUEUE_REPORT);
         inHandAt = reported.indexOf(DeploymentReader.IN_HAND_REPORT);
-        memoryAt = reported.indexOf(DeploymentReader.MEMORY_REPORT);
         subscribes = told.text("discovery", "").equals("subscribe");
         this.reply = reply;
         if (subscribes) {
@@ -96,7 +94,7 @@
                 new Span(f.whole("duration_us", 0)), f.flag("settled"),
                 new Span(told ? note / NOTE_MEMORY_STEPS * 1000 : -1),
                 told ? note % NOTE_MEMORY_STEPS * NOTE_MEMORY_MB : -1,
-                reported(f, queueAt), reported(f, inHandAt), reported(f, memoryAt));
+                reported(f, queueAt), reported(f, inHandAt));
         write(id, dispatcher.after(outcome, now));
     }
 
--- a/src/main/java/cobaltseam/deployment/DeploymentReader.java
+++ b/src/main/java/cobaltseam/deployment/DeploymentReader.java
@@ -15,8 +15,6 @@
     /** The names in load reports of what an engine holds waiting for memory, and of all that it holds. */
     public static final String QUEUE_REPORT = "pending";
     public static final String IN_HAND_REPORT = "busy_reqs";
-    /** The name in load reports of the share of its memory that an engine has granted. */
-    public static final String MEMORY_REPORT = "x0";
 
     private DeploymentReader() {
     }
--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -86,8 +86,7 @@
     private Moment promised;
     private boolean readLate;
     /** What outcomes tell of all engines together, and their reported commands in hand, a core. */
-    private final Evidence slow = new Evidence(), failing = new Evidence(), load = new Evidence(),
-            memory = new Evidence();
+    private final Evidence slow = new Evidence(), failing = new Evidence(), load = new Evidence();
     /** How many times their usual latency the engines' answers take now, at the middle one of them. */
     private double pace = 1;
     /** Threads in hand on all engines, as reported, over their whole figure; above 1 if none is told. */
@@ -421,7 +420,7 @@
      */
     public void progressed(CommandId id, int send, double share, Moment now) {
         Sent sent = out(id, send);
-        if (sent == null || sent.cutAt == null || !(share > 0)) {
+        if (sent == null || !(share > 0)) {
             return;
         }
         Cmd cmd = sent.cmd;
@@ -432,14 +431,13 @@
         // Near its end a rough note tells too little rest: what is all but done was cut for it.
         cutAt(sent, bad ? now : now.plus(rest.times(PATIENCE).max(spent.times(NEAR - 1))));
     }
-
     /** The send of this number, if it is out. */
     private Sent out(CommandId id, int send) {
         Cmd cmd = open.get(id);
         return cmd == null || cmd.out == null || cmd.out.number != send ? null : cmd.out;
     }
     private void cutAt(Sent sent, Moment when) {
-        if (cuts.remove(sent)) {
+        if (sent.cutAt != null && cuts.remove(sent)) {
             sent.cutAt = when;
             cuts.add(sent);
         }
@@ -472,7 +470,6 @@
             cutAt(sent, now);
         }
     }
-
     /** Whether a load holds what the command reads there, as far as known. */
     private static boolean heldThere(Cmd cmd, Engine e, Moment now) {
         Moment since = cmd.blockedAt == null ? null : cmd.blockedAt.get(e);
@@ -547,7 +544,6 @@
         }
         return best;
     }
-
     /** Room for the profile's threads, or, where the budget is below them, the draw of the moment. */
     private boolean fits(Engine e, Cmd cmd, Moment now) {
         double threads = threads(cmd, e);
@@ -577,7 +573,6 @@
         double byMemory = e.memoryPerThread > 0 ? cmd.command.memoryMb() / e.memoryPerThread : 0;
         return Math.max(cmd.way.threads, Math.min(byMemory, e.whole));
     }
-
     /** How much of the others' budget may be borrowed: as answers there tell, or else all answers. */
     private static double borrowed(Engine e, Way way) {
         double heard = e.slow.weight;
@@ -597,12 +592,10 @@
         double others = Math.max(0, inHand - e.out.size()) * meanThreads;
         return e.threads + others + threads <= e.whole * e.health * warmth(e, now);
     }
-
     /** This dispatcher's even share of an engine's figure, as far as the engine is well and warm. */
     private double share(Engine e, Moment now) {
         return e.whole / sharers * e.health * warmth(e, now);
     }
-
     /** The part of its work that an engine started a while ago is taken to do. */
     private double warmth(Engine e, Moment now) {
         if (!cold(e, now)) {
@@ -636,23 +629,19 @@
     private static double work(Cmd cmd) {
         return cmd.command.work().isPositive() ? cmd.command.work().us() : cmd.way.usualWork;
     }
-
     /** Latency to expect at usual speed. */
     private static Span usually(Cmd cmd) {
         double ratio = cmd.way.usual * Math.exp(cmd.way.scatter);
         return new Span(1 + Math.round(work(cmd) / cmd.way.threads * ratio));
     }
-
     /** Latency to expect at the pace at which the engines answer now. */
     private Span expected(Cmd cmd) {
         return usually(cmd).times(pace(cmd.way));
     }
-
     /** The pace of one profile: wide ones may wait long where narrow ones are quick. */
     private double pace(Way way) {
         return Math.exp(Math.max(0, way.slow.mean(Math.log(pace))));
     }
-
     /** From when on a held command is given up: it could not be answered in time to be of use. */
     private Moment giveUpAt(Cmd cmd) {
         Moment last = cmd.command.clientTimeout().minus(margin);
@@ -685,7 +674,6 @@
     private static boolean mayFollow(Cmd cmd) {
         return cmd.sends < cmd.bounds.mostSends && cmd.bounds.repeat == Repeat.REPLAYABLE;
     }
-
     /** How long a send can be of use. */
     private Span longest(Cmd cmd, Moment now) {
         Span left = cmd.command.clientTimeout().minus(margin).since(now);
@@ -747,7 +735,6 @@
         double moved = way.need + step * (news > way.need ? GRANT_QUANTILE : GRANT_QUANTILE - 1);
         way.need = Math.max(0, Math.min(WORST, moved));
     }
-
     /** A send is over: its threads are free, and its latency tells how its engine does. */
     private void settle(Sent sent, Outcome outcome, Moment now) {
         Engine e = sent.engine;
@@ -765,9 +752,6 @@
             e.reported = now;
             load.add(e.inHand / e.cores, NEWS);
         }
-        if (outcome.memoryTaken() >= 0) {
-            memory.add(outcome.memoryTaken(), NEWS);
-        }
         double part = Math.min(1, took.over(shortestTarget)) * NEWS;
         meanThreads += (sent.threads - meanThreads) * part;
         meanStay = meanStay.plus(took.minus(meanStay).times(part));
@@ -831,7 +815,6 @@
         double step = Math.max(NEWS / 4, 1.0 / (1 / NEWS + ++way.calm));
         way.scatter = Math.max(0, way.scatter + (news - way.scatter) * step);
     }
-
     /** Gives back half of what was borrowed, once a send: its answer is slow, or overdue and still out. */
     private static void fallBack(Sent sent) {
         if (!sent.slow) {
@@ -863,7 +846,6 @@
         slow.fade(keep);
         failing.fade(keep);
         load.fade(keep);
-        memory.fade(keep);
         ways.values().forEach(w -> w.slow.fade(Math.pow(keep, shortestTarget.over(w.target))));
         for (Engine e : sorted) {
             e.slow.fade(keep);
@@ -891,7 +873,6 @@
         // Renewed soon, unless all is not usual: then at the stay of a send, so that the threads out come to
         // the share in the mean. Guards against hundreds of dispatchers that fill the engines by chance.
         full = load.weight > 0 ? load.sum / load.weight * meanThreads / THREADS_PER_CORE : WORST;
-        full = memory.weight > 0 ? Math.max(full, memory.sum / memory.weight) : full;
         boolean unusual = pace > NEAR && full > LEAST_SHARE || load.weight > 0 && full > 1 / NEAR;
         Span renewal = unusual ? meanStay : meanStay.min(redraw());
         double[] slowness = new double[sorted.size()];
@@ -990,7 +971,6 @@
         return below < all * (1 - NEAR / (pace * pace)) && arrivals * NEWS >= 2
                 && full > LEAST_SHARE;
     }
-
     /** Without estimates, what answers took tells the usual work of a profile. */
     private static void learnWork(Way way, double work) {
         way.usualWork += (work - way.usualWork) * Math.max(NEWS / 4, 1.0 / ++way.known);
@@ -1052,14 +1032,12 @@
         return !cold(e, now)
                 || e.coldWork > 0 && e.draw * Math.max(cmd.way.usualWork, work(cmd)) <= e.coldWork;
     }
-
     /** Whether what is known of a command's sends lets it be sent once more. */
     private boolean repeatable(Cmd cmd, Moment now) {
         return cmd.mayHaveRunSince == null || cmd.bounds.repeat == Repeat.REPLAYABLE
                 || cmd.bounds.repeat == Repeat.UNIQUED
                 && now.since(cmd.mayHaveRunSince).compareTo(cmd.bounds.remembered) < 0;
     }
-
     /** Whether a command with a key has its turn: first in line, and the key rested. */
     private boolean myTurn(Cmd cmd, Moment now) {
         if (!cmd.bounds.inOrder || cmd.command.key() == null) {
@@ -1079,7 +1057,6 @@
                     <= r.free() + r.ratio() * taken.stream().filter(from::before).count();
         });
     }
-
     /** Drops from both counts what lies outside every window; on its edge, whatever is stricter. */
     private void forget(Moment now) {
         rations.removeIf(r -> r.until() != null && !now.before(r.until()));
@@ -1091,7 +1068,6 @@
             further.removeFirst();
         }
     }
-
     /** The final answer of a command that is given up: shed where a repeat is known to do no harm. */
     private Placement giveUp(Cmd cmd) {
         boolean harmless = cmd.mayHaveRunSince == null || cmd.bounds.repeat == Repeat.REPLAYABLE
@@ -1099,7 +1075,6 @@
         end(cmd);
         return harmless ? Placement.shed(longestComeBack) : Placement.fail();
     }
-
     /** Forgets a command that has its final answer. */
     private void end(Cmd cmd) {
         cmd.over = true;
--- a/src/main/java/cobaltseam/dispatch/Outcome.java
+++ b/src/main/java/cobaltseam/dispatch/Outcome.java
@@ -2,16 +2,11 @@
 
 /**
  * How one send ended. {@code over} is true when nothing more is owed for the command. The work
- * and memory that an answer needed, and the engine's queue, commands in hand and share of its memory
- * that is granted, are below zero where they are not told.
+ * and memory that an answer needed, and the engine's queue and commands in hand, are below zero
+ * where they are not told.
  */
 public record Outcome(CommandId command, int send, EngineId engine, Ending ending, Span latency,
-                      boolean over, Span workDone, double memoryMb, double queue, double inHand, double memoryTaken) {
-    public Outcome(CommandId command, int send, EngineId engine, Ending ending, Span latency, boolean over,
-                   Span workDone, double memoryMb, double queue, double inHand) {
-        this(command, send, engine, ending, latency, over, workDone, memoryMb, queue, inHand, -1);
-    }
-
+                      boolean over, Span workDone, double memoryMb, double queue, double inHand) {
     /** What became of a send, and whether that proves that it never ran. */
     public enum Ending {
         ANSWERED(false), ERROR(false), NO_ROOM(true), TIMED_OUT(false), UNREACHABLE(true),
--- a/src/main/java/cobaltseam/service/Commands.java
+++ b/src/main/java/cobaltseam/service/Commands.java
@@ -222,7 +222,7 @@
         c.asker = ending == Ending.ANSWERED ? null : c.asker;
         boolean over = c.asker == null;
         Outcome outcome = new Outcome(c.id, send.number, send.engine, ending, now.since(send.at), over,
-                new Span(-1), -1, send.queue, send.inHand, send.memoryTaken);
+                new Span(-1), -1, send.queue, send.inHand);
         carryOut(c, () -> dispatcher.after(outcome, now));
         if (over) {
             forget(c);
--- a/src/main/java/cobaltseam/service/Engines.java
+++ b/src/main/java/cobaltseam/service/Engines.java
@@ -430,8 +430,6 @@
         }
         double inHand = answer.reported(DeploymentReader.IN_HAND_REPORT);
         double queue = answer.reported(DeploymentReader.QUEUE_REPORT);
-        double memory = answer.reported(DeploymentReader.MEMORY_REPORT);
-        send.memoryTaken = memory >= 0 ? memory : send.memoryTaken;
         send.inHand = inHand >= 0 ? inHand : send.inHand;
         send.queue = queue >= 0 ? queue : send.queue;
         switch (answer.word()) {
--- a/src/main/java/cobaltseam/service/Send.java
+++ b/src/main/java/cobaltseam/service/Send.java
@@ -24,7 +24,6 @@
     /** The engine's load as last reported, below zero where it was not. */
     double queue = -1;
     double inHand = -1;
-    double memoryTaken = -1;
 
     Send(CommandId command, int number, EngineId engine, Statement statement, Moment at, Moment until) {
         this.command = command;
--- a/src/test/java/cobaltseam/dispatch/MoreTest.java
+++ b/src/test/java/cobaltseam/dispatch/MoreTest.java
@@ -104,6 +104,20 @@
         }
     }
 
+    @Test
+    void whatMustNotRunTwiceStaysBehindALoad() {
+        // It has no call-off that could be brought forward: asking for one ended the dispatcher.
+        Profile once = World.profile("p", 1, Deployment.Repeat.NON_REPLAYABLE, Deployment.Scope.ALL, false, null, null);
+        World w = new World(World.deployment(0, 1, World.RULES, NOTES, once), 7);
+        w.list(true, World.up(1), World.up(2));
+        sendOne(w);
+        World.Out second = sendOne(w);
+        w.dispatcher.blocked(second.command().id(), second.number(), w.now);
+        w.dispatcher.progressed(second.command().id(), second.number(), 0.5, w.now);
+        w.follow();
+        assertTrue(w.callOffs.isEmpty());
+    }
+
     @Test
     void aSendBehindALoadStaysWhereThereIsNoOtherEngine() {
         World w = world(NOTES, 1, 1);
