--- /dev/null
+++ b/src/main/java/cobaltseam/agreement/Word.java
@@ -0,0 +1,57 @@
+package cobaltseam.agreement;
+
+import java.util.Objects;
+
+import cobaltseam.membership.Edition;
+import cobaltseam.membership.Message.Teller;
+import cobaltseam.membership.Spoken;
+
+/** What members tell each other of the agreed document. The teller's view says which edition it holds. */
+public sealed interface Word extends Spoken {
+    /** Is the teller's view still the newest? */
+    record Renew(Teller from, long id) implements Word {
+        public Renew {
+            Objects.requireNonNull(from);
+        }
+    }
+
+    /** Yes: the teller holds the same view, and nothing that would follow it is on its way there. */
+    record Granted(Teller from, long id) implements Word {
+        public Granted {
+            Objects.requireNonNull(from);
+        }
+    }
+
+    /** An edition that the teller would have the next view hold; to be fetched, checked and answered. */
+    record Offer(Teller from, Edition edition, int size) implements Word {
+        public Offer {
+            Objects.requireNonNull(from);
+            Objects.requireNonNull(edition);
+        }
+    }
+
+    /** The answer to an offer: null if the edition can be acted on here, else why not. */
+    record Checked(Teller from, Edition edition, String why) implements Word {
+        public Checked {
+            Objects.requireNonNull(from);
+            Objects.requireNonNull(edition);
+        }
+    }
+
+    /** Asks for a document's bytes from an index on. */
+    record Want(Teller from, String hash, int index) implements Word {
+        public Want {
+            Objects.requireNonNull(from);
+            Objects.requireNonNull(hash);
+        }
+    }
+
+    /** Bytes of a document from an index on. */
+    record Piece(Teller from, String hash, int index, int size, byte[] bytes) implements Word {
+        public Piece {
+            Objects.requireNonNull(from);
+            Objects.requireNonNull(hash);
+            Objects.requireNonNull(bytes);
+        }
+    }
+}
--- a/src/main/java/cobaltseam/fleet/Fleet.java
+++ b/src/main/java/cobaltseam/fleet/Fleet.java
@@ -21,7 +21,7 @@
 
 /** Fleets of dispatchers under troubles: in virtual time on the membership alone, and as real processes on loopback. */
 @Command(name = "fleet", description = "Plays fleets of dispatchers under scripts of troubles, and checks what they noted.",
-        subcommands = {Fleet.Run.class, Fleet.Hunt.class, Fleet.Shrinks.class, Fleet.Detect.class, Fleet.Steady.class}, mixinStandardHelpOptions = true,
+        subcommands = {Fleet.Run.class, Fleet.Hunt.class, Fleet.Shrinks.class, Fleet.Detect.class, Fleet.Steady.class, AgreeHunt.class}, mixinStandardHelpOptions = true,
         synopsisSubcommandLabel = "COMMAND")
 public final class Fleet implements Callable<Integer> {
     @CommandLine.Spec
--- a/src/main/java/cobaltseam/fleet/RealFleet.java
+++ b/src/main/java/cobaltseam/fleet/RealFleet.java
@@ -35,13 +35,22 @@
  */
 public final class RealFleet implements AutoCloseable {
     /** What a fleet is made of. */
-    public record Plan(int processes, int periodMs, double patience, int founders, boolean folders) {
+    public record Plan(int processes, int periodMs, double patience, int founders, boolean folders, int contradictionMs) {
+        public Plan(int processes, int periodMs, double patience, int founders, boolean folders) {
+            this(processes, periodMs, patience, founders, folders, 0);
+        }
+
+        /** All agree on the settings. */
+        public Plan agreeing(int ms) {
+            return new Plan(processes, periodMs, patience, founders, folders, ms);
+        }
+
         public static Plan of(int processes) {
             return new Plan(processes, 200, 3, Math.min(3, processes), false);
         }
 
         public Plan withFolders() {
-            return new Plan(processes, periodMs, patience, founders, true);
+            return new Plan(processes, periodMs, patience, founders, true, contradictionMs);
         }
     }
 
@@ -51,6 +60,7 @@
         long birth;
         String view;
         List<String> members = List.of();
+        List<String> acts = List.of();
         String standing = "none";
         int starts;
         boolean stopped;
@@ -62,12 +72,14 @@
     private final Plan plan;
     private final List<Trouble> troubles;
     private final Path folder;
-    private volatile long since = System.nanoTime();
+    private final long made = System.nanoTime();
+    private volatile long since = made;
     private final Relays relays;
     private final One[] all;
     private final int[] ports;
     private final List<Happening> happenings = new ArrayList<>();
     private final List<String> acts = new ArrayList<>();
+    private final List<Acted> actings = new ArrayList<>();
 
     public RealFleet(Plan plan, List<Trouble> troubles, long seed, Path folder) throws IOException {
         this.plan = plan;
@@ -113,6 +125,7 @@
         Files.writeString(own.resolve("cobaltseam.toml"), """
                 [logging]
                 form = "json"
+                %s
                 [membership]
                 fleet = "rig"
                 listen = "%s"
@@ -122,7 +135,7 @@
                 period_ms = %d
                 patience = %s
                 %s
-                """.formatted(text(relays.listensAt(i)), text(relays.seenAt(i)), seeds, founders, plan.periodMs, plan.patience,
+                """.formatted(plan.contradictionMs > 0 ? "[agreement]\ncontradiction_ms = " + plan.contradictionMs : "", text(relays.listensAt(i)), text(relays.seenAt(i)), seeds, founders, plan.periodMs, plan.patience,
                 plan.folders ? "folder = \"kept\"" : ""));
     }
 
@@ -131,6 +144,33 @@
         return folder.resolve(name(i)).resolve("kept");
     }
 
+    /** Writes another number of sends a command into a process's configuration, and has it read that. */
+    public void settings(int i, int mostSends) throws IOException, InterruptedException {
+        Path file = folder.resolve(name(i)).resolve("config.json");
+        Files.writeString(file, Files.readString(file).replaceAll("\"most_tries\":[0-9]+", "\"most_tries\":" + mostSends));
+        acted("hangup", i);
+        signal(i, "HUP");
+    }
+
+    /** On which editions of the settings all acted, each by its own log. */
+    public synchronized List<Acted> acted() {
+        return List.copyOf(actings);
+    }
+
+    /** The editions that a process acts on now; none if it stepped back or is gone. */
+    public synchronized List<String> acts(int i) {
+        return isAlive(i) ? all[i].acts : List.of();
+    }
+
+    /** Seconds since this fleet was made, whenever its script began. */
+    public double clock() {
+        return (System.nanoTime() - made) / 1e9;
+    }
+
+    private synchronized void acts(int i, List<String> editions) {
+        actings.add(new Acted(clock(), i, editions));
+    }
+
     /** Adds lines to the membership of a process's own file, and has it read that. */
     public void rewrite(int i, String more) throws IOException, InterruptedException {
         Files.writeString(folder.resolve(name(i)).resolve("cobaltseam.toml"), more + "\n", StandardOpenOption.APPEND);
@@ -166,6 +206,7 @@
             one.birth = 0;
             one.view = null;
             one.members = List.of();
+            one.acts = List.of();
             one.standing = "none";
             one.starts++;
             one.stopped = false;
@@ -214,6 +255,11 @@
                 one.view = view.equals("none") ? null : view;
                 one.members = members;
             }
+        } else if (event.equals("agreement.acts") && !former) {
+            boolean back = line.path("mode").asText().equals("back");
+            String of = one.view == null ? "none" : Checker.line(one.view);
+            one.acts = back ? List.of() : Arrays.stream(line.path("editions").asText().split(" ")).map(e -> of + "/" + e).toList();
+            acts(i, one.acts);
         } else if (event.equals("membership.standing") && !former) {
             one.standing = line.path("standing").asText();
         }
@@ -236,6 +282,7 @@
     public void kill(int i) throws InterruptedException {
         acted("kill", i);
         all[i].process.destroyForcibly().waitFor();
+        acts(i, List.of());
     }
 
     /** SIGTERM. */
@@ -248,9 +295,11 @@
         acted("stop", i);
         signal(i, "STOP");
         all[i].stopped = true;
+        acts(i, List.of());
     }
 
     public void go(int i) throws IOException, InterruptedException {
+        acts(i, all[i].acts);
         signal(i, "CONT");
         all[i].stopped = false;
         acted("cont", i);
--- a/src/main/java/cobaltseam/fleet/VirtualFleet.java
+++ b/src/main/java/cobaltseam/fleet/VirtualFleet.java
@@ -3,6 +3,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -15,6 +16,10 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 
+import cobaltseam.agreement.Acting;
+import cobaltseam.agreement.Agreement;
+import cobaltseam.agreement.Doing;
+import cobaltseam.agreement.Word;
 import cobaltseam.dispatch.Moment;
 import cobaltseam.dispatch.Span;
 import cobaltseam.membership.Act;
@@ -24,6 +29,7 @@
 import cobaltseam.membership.MemberName;
 import cobaltseam.membership.Membership;
 import cobaltseam.membership.Message;
+import cobaltseam.membership.Spoken;
 import cobaltseam.membership.Standing;
 import cobaltseam.membership.Terms;
 import cobaltseam.membership.View;
@@ -43,7 +49,7 @@
         }
     }
 
-    private record Event(double at, long turn, int process, long life, Message message, Act.Keep keep) implements Comparable<Event> {
+    private record Event(double at, long turn, int process, long life, Spoken message, Act.Keep keep) implements Comparable<Event> {
         @Override
         public int compareTo(Event other) {
             int order = Double.compare(at, other.at);
@@ -53,9 +59,12 @@
 
     private static final class Process {
         Membership membership;
+        Agreement agreement;
+        /** Of its clock, over that of the world. */
+        double rate = 1;
         /** Which process of this number it is; events of a former one are void. */
         long life;
-        boolean alive, started;
+        boolean alive, started, following;
         /** While it is dead: whether it comes back as the same member. */
         boolean resumes;
         double wake = Double.MAX_VALUE;
@@ -63,10 +72,22 @@
         Kept kept, earlier;
         Act.Keep writing;
         /** What came while it stood still. */
-        final Deque<Message> unread = new ArrayDeque<>();
+        final Deque<Spoken> unread = new ArrayDeque<>();
     }
 
     private static final int PORT = 7946;
+    /** Documents in virtual time are texts: what begins with "no" is refused, and two contradict unless both begin with "log". */
+    private static final Agreement.Documents TEXTS = new Agreement.Documents() {
+        @Override
+        public String check(byte[] content) {
+            return new String(content, StandardCharsets.UTF_8).startsWith("no") ? "it can't be acted on" : null;
+        }
+
+        @Override
+        public boolean contradict(byte[] one, byte[] other) {
+            return !(new String(one, StandardCharsets.UTF_8).startsWith("log") && new String(other, StandardCharsets.UTF_8).startsWith("log"));
+        }
+    };
     private static final long TROUBLED = -1;
     private static final long COPIES = -2;
     private static final double SLOWEST_WRITE = 0.02;
@@ -87,6 +108,8 @@
     /** The newest view of each line, by whoever came to hold it first. */
     private final Map<Long, View> newest = new LinkedHashMap<>();
     private boolean lostMajority;
+    private Agreement.Terms agreed;
+    private final List<Acted> acted = new ArrayList<>();
 
     public VirtualFleet(Plan plan, List<Trouble> troubles, long seed) {
         this.plan = plan;
@@ -127,12 +150,13 @@
         return new MemberName(String.format("n%04d", i));
     }
 
-    private void at(double when, int process, long life, Message message) {
+    private void at(double when, int process, long life, Spoken message) {
         events.add(new Event(when, turns++, process, life, message, null));
     }
 
-    private Moment moment() {
-        return new Moment(Math.round(now * 1e6));
+    /** What a process's own clock says; each may run at a rate of its own. */
+    private Moment moment(int i) {
+        return new Moment(Math.round(now * 1e6 * processes[i].rate));
     }
 
     // ---- what is asked
@@ -168,11 +192,11 @@
 
     /** An operator has a process found another line in place of this view. */
     public void foundAnew(int i, ViewId said) {
-        carryOut(i, processes[i].membership.foundAnew(said, moment()));
+        carryOut(i, processes[i].membership.foundAnew(said, moment(i)));
     }
 
     public int carriers(int i) {
-        return processes[i].membership.carriers(moment());
+        return processes[i].membership.carriers(moment(i));
     }
 
     public Set<Checker.Live> live() {
@@ -268,7 +292,7 @@
         return false;
     }
 
-    private void hears(int i, Message message) {
+    private void hears(int i, Spoken message) {
         Process p = processes[i];
         if (stands(i)) {
             if (p.unread.size() < MOST_UNREAD) {
@@ -279,11 +303,15 @@
         if (p.wake < now - plan.periodS / 2) {
             due(i);
         }
-        carryOut(i, p.membership.heard(message, moment()));
+        if (message instanceof Message m) {
+            carryOut(i, p.membership.heard(m, moment(i)));
+        } else if (p.agreement != null) {
+            agrees(i, p.agreement.heard((Word) message, moment(i)));
+        }
     }
 
     private void due(int i) {
-        carryOut(i, processes[i].membership.due(moment()));
+        carryOut(i, processes[i].membership.due(moment(i)));
     }
 
     private void start(int i) {
@@ -306,7 +334,15 @@
         Member self = new Member(name(i), new Birth(++births), addresses.get(i));
         p.membership = plan.folders ? Membership.lasting(terms, self, p.kept, chance.split()) : new Membership(terms, self, chance.split());
         happenings.add(new Happening(now, i, p.membership.self().birth().value(), null, List.of(), true));
-        carryOut(i, p.membership.start(moment()));
+        if (agreed != null) {
+            p.agreement = new Agreement(agreed, p.membership, TEXTS, chance.split());
+            p.agreement.own("first".getBytes(StandardCharsets.UTF_8));
+            if (p.kept != null) {
+                p.kept.documents().forEach(p.agreement::knows);
+            }
+            acts(i, null);
+        }
+        carryOut(i, p.membership.start(moment(i)));
     }
 
     /** A trouble of a process begins or ends. */
@@ -316,9 +352,10 @@
             boolean dies = t.kind().ends();
             if (dies && t.who().contains(i) && Math.abs(t.atS() - now) < 1e-9 && p.alive) {
                 if (t.kind() == Trouble.Kind.TERM && !stands(i)) {
-                    carryOut(i, p.membership.leave(moment()));
+                    carryOut(i, p.membership.leave(moment(i)));
                 }
                 p.alive = false;
+                acts(i, null);
                 if (p.writing != null && chance.nextBoolean()) {
                     p.kept = p.writing.what();
                 }
@@ -334,7 +371,13 @@
                 start(i);
             }
         }
-        if (p.alive && !stands(i)) {
+        if (p.alive && stands(i)) {
+            acts(i, null);
+        } else if (p.alive) {
+            if (p.agreement != null) {
+                agrees(i, p.agreement.follow(moment(i)));
+                acts(i, p.agreement.acting());
+            }
             due(i);
             while (!p.unread.isEmpty() && p.alive) {
                 hears(i, p.unread.poll());
@@ -376,7 +419,7 @@
         Process p = processes[i];
         for (Act act : acts) {
             if (act instanceof Act.Tell tell) {
-                tell(i, tell);
+                tell(i, tell.to(), tell.message());
             } else if (act instanceof Act.Keep keep) {
                 p.writing = keep;
                 events.add(new Event(now + SLOWEST_WRITE * chance.nextDouble(), turns++, i, p.life, null, keep));
@@ -391,19 +434,84 @@
                 notes.merge(noted.event().label(), 1, Integer::sum);
             }
         }
-        Moment wake = p.membership.wake(moment());
+        if (p.agreement != null && p.alive && !p.following) {
+            // Before anything else is done with what membership now knows.
+            p.following = true;
+            List<Doing> doings = p.agreement.follow(moment(i));
+            if (!doings.isEmpty()) {
+                agrees(i, doings);
+            }
+            p.following = false;
+        }
+        Moment wake = p.membership.wake(moment(i));
         if (wake == null) {
             return;
         }
-        double at = Math.max(now + 1e-6, wake.us() / 1e6);
+        if (p.agreement != null) {
+            Moment other = p.agreement.wake(moment(i));
+            wake = other.before(wake) ? other : wake;
+        }
+        double at = Math.max(now + 1e-6, wake.us() / 1e6 / p.rate);
         if (at < p.wake || p.wake <= now) {
             p.wake = at;
             at(at, i, p.life, null);
         }
     }
 
-    private void tell(int from, Act.Tell tell) {
-        Integer to = byAddress.get(tell.to());
+    // ---- the agreed document
+
+    /** From the next start of each process on, all agree on a document; clocks run up to this part apart. */
+    public void agrees(Agreement.Terms terms, double clocksApart) {
+        agreed = terms;
+        for (Process p : processes) {
+            p.rate = 1 + clocksApart * (chance.nextDouble() - 0.5);
+        }
+    }
+
+    /** A process proposes a document; why it can't, or null. */
+    public String propose(int i, byte[] content, long expect) {
+        if (!processes[i].alive || stands(i)) {
+            return "it is not there";
+        }
+        String why = processes[i].agreement.propose(content, expect, moment(i));
+        agrees(i, processes[i].agreement.follow(moment(i)));
+        return why;
+    }
+
+    public Acting acting(int i) {
+        return processes[i].agreement.acting();
+    }
+
+    /** What all acted on, in the order in which it was. */
+    public List<Acted> acted() {
+        return acted;
+    }
+
+    private void agrees(int i, List<Doing> doings) {
+        Process p = processes[i];
+        List<Act> acts = new ArrayList<>();
+        for (Doing doing : doings) {
+            if (doing instanceof Doing.Tell tell) {
+                tell(i, tell.to(), tell.word());
+            } else if (doing instanceof Doing.Of of) {
+                acts.add(of.act());
+            } else if (doing instanceof Doing.Acts on) {
+                acts(i, on.on());
+            } else if (doing instanceof Doing.Noted noted) {
+                notes.merge(noted.event().label(), 1, Integer::sum);
+            }
+        }
+        carryOut(i, acts);
+    }
+
+    private void acts(int i, Acting on) {
+        long line = processes[i].membership.view() == null ? 0 : processes[i].membership.view().id().line();
+        boolean back = on == null || on.mode() == Acting.Mode.BACK;
+        acted.add(new Acted(now, i, back ? List.of() : on.editions().stream().map(e -> line + "/" + e.number() + ":" + e.hash()).toList()));
+    }
+
+    private void tell(int from, InetSocketAddress address, Spoken message) {
+        Integer to = byAddress.get(address);
         sent++;
         if (to == null) {
             return;
@@ -411,7 +519,7 @@
         Trouble.Fate fate = Trouble.fate(troubles, from, to, now, chance);
         double delay = 0.0003 + 0.001 * chance.nextDouble() + fate.delayS();
         for (int n = 0; n < fate.times(); n++) {
-            at(now + delay * (1 + n * chance.nextDouble()), to, processes[to].life, tell.message());
+            at(now + delay * (1 + n * chance.nextDouble()), to, processes[to].life, message);
         }
     }
 }
--- a/src/main/java/cobaltseam/hall/MessageCodec.java
+++ b/src/main/java/cobaltseam/hall/MessageCodec.java
@@ -10,9 +10,11 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
+import cobaltseam.agreement.Word;
 import cobaltseam.membership.Birth;
 import cobaltseam.membership.MemberName;
 import cobaltseam.membership.Message;
+import cobaltseam.membership.Spoken;
 import cobaltseam.seal.Seal;
 import cobaltseam.seal.SealKeys;
 import cobaltseam.vrrp.Addresses;
@@ -39,10 +41,11 @@
     /** A longer message is neither written nor read. */
     public static final int LARGEST = 1 << 14;
     private static final int VERSION = 1;
-    private static final Map<String, Class<? extends Message>> KINDS = Stream.of(Message.Probe.class, Message.Relay.class,
+    private static final Map<String, Class<? extends Spoken>> KINDS = Stream.<Class<? extends Spoken>>of(Message.Probe.class, Message.Relay.class,
             Message.Answer.class, Message.Ask.class, Message.Part.class, Message.NameTaken.class, Message.Found.class,
             Message.Consent.class, Message.Prepare.class, Message.Promise.class, Message.Refuse.class, Message.Accept.class,
-            Message.Accepted.class, Message.Decided.class, Message.AskView.class, Message.ViewPart.class)
+            Message.Accepted.class, Message.Decided.class, Message.AskView.class, Message.ViewPart.class, Word.Renew.class,
+            Word.Granted.class, Word.Offer.class, Word.Checked.class, Word.Want.class, Word.Piece.class)
             .collect(Collectors.toMap(Class::getSimpleName, Function.identity()));
 
     /** Why bytes are not taken for a message that counts. */
@@ -55,7 +58,7 @@
     }
 
     /** What bytes came to: a message, or why none counts. */
-    public record Reading(Message message, Refusal refusal) {
+    public record Reading(Spoken message, Refusal refusal) {
     }
 
     private final ObjectMapper mapper;
@@ -128,7 +131,7 @@
     }
 
     /** The bytes of a message; null if it is too long to be sent. */
-    public byte[] write(Message message) {
+    public byte[] write(Spoken message) {
         ObjectNode whole = mapper.createObjectNode();
         whole.put("v", VERSION).put("f", fleet).put("k", message.getClass().getSimpleName());
         whole.set("m", mapper.valueToTree(message));
@@ -168,11 +171,11 @@
             if (!fleet.equals(whole.path("f").asText())) {
                 return refused(Refusal.OTHER_FLEET);
             }
-            Class<? extends Message> kind = KINDS.get(whole.path("k").asText());
+            Class<? extends Spoken> kind = KINDS.get(whole.path("k").asText());
             if (kind == null) {
                 return refused(Refusal.KIND);
             }
-            Message message = mapper.treeToValue(whole.path("m"), kind);
+            Spoken message = mapper.treeToValue(whole.path("m"), kind);
             return message == null ? refused(Refusal.MALFORMED) : new Reading(message, null);
         } catch (IOException | RuntimeException e) {
             // A library's own faults on hostile bytes are the bytes' fault: nothing of them is kept.
--- a/src/main/java/cobaltseam/membership/Membership.java
+++ b/src/main/java/cobaltseam/membership/Membership.java
@@ -9,9 +9,13 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 
 import cobaltseam.dispatch.Moment;
 import cobaltseam.dispatch.Span;
@@ -78,6 +82,7 @@
     private static final class Coming {
         ViewId id;
         int size;
+        Edition edition;
         final List<Member> members = new ArrayList<>();
     }
 
@@ -90,7 +95,7 @@
     private final Map<Member, Removal> removals = new LinkedHashMap<>();
     /** Processes taken out whose sends may still hold engines, until when. */
     private final Map<Member, Moment> lingering = new HashMap<>();
-    private Change wanted = new Change(List.of(), List.of());
+    private Change wanted = Change.NONE;
     private Moment wantedSince, settledFrom, triedAt, confirmFrom, started, viewSince, asked, roundSince, againAt;
     /** After a higher ballot or a round that came to nothing, it rests until then. */
     private Moment restsUntil = new Moment(0);
@@ -137,6 +142,10 @@
     private View countedOf;
     private long countedAt = -1;
     private int aliveCount;
+    /** What this process would have the next view hold, or null. */
+    private Edition offered;
+    private Predicate<Edition> hasDocument = e -> true;
+    private Function<Edition, byte[]> documentOf = e -> null;
 
     /** A process with a lasting folder; {@code former} is what that holds, or null if it is new or was another's. */
     public static Membership lasting(Terms terms, Member self, Kept former, RandomGenerator chance) {
@@ -321,7 +330,9 @@
                 && kept.vowedTo() == vowedTo && kept.vowedAttempt() == vowedAttempt && kept.left().equals(left)
                 && kept.ended().equals(ended);
         if (!same) {
-            kept = new Kept(self(), starts, seat.view(), seat.promised(), seat.accepted(), seat.value(), vowedTo, vowedAttempt, left, ended);
+            kept = new Kept(self(), starts, seat.view(), seat.promised(), seat.accepted(), seat.value(), vowedTo, vowedAttempt, left, ended,
+                    Stream.of(accepted(), seat.view() == null ? null : seat.view().edition()).filter(Objects::nonNull).map(documentOf)
+                            .filter(Objects::nonNull).distinct().toList());
             keeps++;
         }
         if (keeps > stored) {
@@ -390,6 +401,9 @@
 
     /** What follows from what is known now. */
     private void follow(Moment now) {
+        if (offered != null && seat.view() != null && !isNext(offered)) {
+            offered = null;
+        }
         confirm(now);
         abandonDead(now);
         unheard = suspicion.hearsNobody(now);
@@ -461,10 +475,10 @@
 
     /** Proposes the next view, where this process is the one to do so and what it wants has settled. */
     private void consider(Moment now) {
-        Change change = standing() == Standing.MAJORITY ? change(now) : new Change(List.of(), List.of());
+        Change change = standing() == Standing.MAJORITY ? change(now) : Change.NONE;
         // What was accepted here may have been chosen by a process that could tell nobody: it has to be brought to its end.
         boolean unfinished = seat.accepted() != null && standing() == Standing.MAJORITY;
-        if (change.isEmpty() && !unfinished) {
+        if (change.isEmpty() && !unfinished && !(isNext(offered) && standing() == Standing.MAJORITY)) {
             wanted = change;
             wantedSince = null;
             return;
@@ -480,15 +494,82 @@
         }
         // Those that others suspect already may soon be part of it: one change for all that fell silent together.
         boolean more = seat.view().members().stream().anyMatch(this::isConfirmedSuspect);
+        boolean edits = isNext(offered) && !unfinished;
         boolean unsettled = now.before(settledFrom) || more;
         Moment turn = wantedSince.plus(period.times(NEXT_AFTER * rank()));
         boolean waits = now.before(turn) || unsettled && now.before(turn.plus(period.times(SETTLE_MOST)));
         boolean tries = seat.round() != null && now.since(roundSince).compareTo(period.times(GIVES_UP)) < 0;
-        if (!waits && !tries && !now.before(restsUntil)) {
+        if ((!waits || edits) && !tries && !now.before(restsUntil)) {
             roundSince = now;
             againAt = now.plus(period.times(AGAIN));
-            take(Succession.propose(seat, teller(), wanted, highestRound), now);
+            // An edition waits for no turn: whoever has one proposes it, and takes along what it would have proposed now.
+            Change what = edits ? new Change(waits ? List.of() : wanted.out(), waits ? List.of() : wanted.in(), offered) : wanted;
+            take(Succession.propose(seat, teller(), what, highestRound), now);
+        }
+    }
+
+    private boolean isNext(Edition edition) {
+        return edition != null && edition.number() == Edition.number(seat.view().edition()) + 1;
+    }
+
+    /**
+     * Whether a document is here is asked before its edition is accepted, so that a chosen one is held by a majority; until then
+     * this process answers nothing. Without this any is accepted.
+     *
+     * @param of the document of an edition, or null if it is not here: what is kept in the folder beside the vote
+     */
+    public void accepts(Predicate<Edition> has, Function<Edition, byte[]> of) {
+        hasDocument = has;
+        documentOf = of;
+    }
+
+    /** The edition that this process accepted for the next view, or null. */
+    public Edition accepted() {
+        return seat.accepted() == null || seat.value() == null ? null : seat.value().edition();
+    }
+
+    /** Proposes no edition any more; one that is on its way may be chosen yet. */
+    public void withdraw() {
+        offered = null;
+    }
+
+    /** Has this process propose an edition, until it or another one under its number is held. */
+    public List<Act> offer(Edition edition, Moment now) {
+        offered = edition;
+        if (!leaving && seat.view() != null) {
+            consider(now);
+        }
+        return done();
+    }
+
+    /**
+     * Whether nothing is on its way here that would follow the view: a majority that says so shows that at this moment it had no
+     * successor yet.
+     */
+    public boolean isNewest() {
+        return seat.view() != null && seat.accepted() == null && !resumed && seat.view().holds(self().name(), self().birth());
+    }
+
+    /** Whether all members of the view have told of it, or of a later one. */
+    public boolean isHeldByAll() {
+        for (Member m : seat.view().members()) {
+            Peer p = suspicion.peer(m.name());
+            boolean holds = m.name().equals(self().name()) || p != null && p.member.birth().equals(m.birth())
+                    && (p.view.equals(seat.view().id()) || p.view.after(seat.view().id()));
+            if (!holds) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** A process of another part has spoken: false if what it says does not count. */
+    public boolean spoke(Spoken spoken, Moment now) {
+        if (leaving || suspicion.isQuiet(now) || !suspicion.spoke(spoken.from(), now)) {
+            return false;
         }
+        behind(spoken.from(), now);
+        return true;
     }
 
     private boolean isConfirmedSuspect(Member m) {
@@ -512,7 +593,7 @@
 
     private Change change(Moment now) {
         if (isWhole()) {
-            return new Change(List.of(), List.of());
+            return Change.NONE;
         }
         List<Member> out = new ArrayList<>();
         List<Member> in = new ArrayList<>();
@@ -569,7 +650,7 @@
         return stay;
     }
 
-    private Teller teller() {
+    public Teller teller() {
         return suspicion.teller();
     }
 
@@ -605,7 +686,7 @@
 
     private void installed(View before, Moment now) {
         View view = seat.view();
-        wanted = new Change(List.of(), List.of());
+        wanted = Change.NONE;
         wantedSince = null;
         triedAt = null;
         coming = null;
@@ -845,8 +926,10 @@
             if (suspicion.spoke(from, now)) {
                 suspicion.heard(message, now);
                 ends(from.ended());
-                if (resumed && from.view().after(seat.view().id())) {
-                    // Guards against a folder copied back from an earlier time: what was promised since is not in it.
+                long ahead = resumed && from.view().after(seat.view().id()) ? from.view().number() - seat.view().id().number() : 0;
+                if (ahead > 1 || ahead == 1 && seat.accepted() == null) {
+                    // Guards against a folder copied back from an earlier time: what was promised since is not in it. One that had
+                    // accepted a successor is of the last moment before it.
                     acts.add(new Act.Noted(Event.FOLDER_OLD, self().name(), "view " + seat.view().id() + ", a peer holds " + from.view()));
                     suspicion.beginAnew();
                     leaveLine(Event.LINE_LEFT, "its folder may be an old one", now);
@@ -892,7 +975,8 @@
                 seat = seat.with((Seat.Round) null);
                 restsUntil = now.plus(terms.period().times(chance.nextDouble()));
             }
-        } else if (message instanceof Accept m && counted(m.of(), from, m.ballot())) {
+        } else if (message instanceof Accept m && counted(m.of(), from, m.ballot())
+                && (m.value().edition() == null || hasDocument.test(m.value().edition()))) {
             take(Succession.accept(seat, teller(), m), now);
         } else if (message instanceof Accepted m && counted(m.of(), from, null)) {
             take(Succession.accepted(seat, teller(), m), now);
@@ -944,7 +1028,7 @@
         int from = Math.max(0, Math.min(index, view.members().size()));
         int until = Math.min(view.members().size(), from + MOST_VIEW_PART);
         acts.add(new Act.Tell(to.address(),
-                new ViewPart(teller(), view.id(), from, view.members().size(), view.members().subList(from, until))));
+                new ViewPart(teller(), view.id(), from, view.members().size(), view.members().subList(from, until), view.edition())));
     }
 
     private void parts(ViewPart m, Moment now) {
@@ -956,6 +1040,7 @@
             coming = new Coming();
             coming.id = m.of();
             coming.size = m.size();
+            coming.edition = m.edition();
         }
         if (coming.members.size() != m.index()) {
             return;
@@ -965,7 +1050,7 @@
             acts.add(new Act.Tell(m.from().member().address(), new AskView(teller(), coming.id, coming.members.size())));
             return;
         }
-        View whole = View.of(coming.id, coming.members);
+        View whole = View.of(coming.id, coming.members, coming.edition);
         coming = null;
         if (seat.view() != null || whole.holds(self().name(), self().birth())) {
             follows(whole, now);
--- a/src/main/java/cobaltseam/membership/Message.java
+++ b/src/main/java/cobaltseam/membership/Message.java
@@ -7,7 +7,7 @@
  * What members tell each other. Nothing in one is trusted beyond what its kind says: of the teller itself a whole
  * statement, of others news that any of them can refute.
  */
-public sealed interface Message {
+public sealed interface Message extends Spoken {
     /**
      * Who speaks, its incarnation, the view that it holds, whether a majority of that seems alive to it, and the last view of
      * the youngest line that it knows to have ended.
@@ -25,8 +25,6 @@
         }
     }
 
-    Teller from();
-
     /** Whether others may build on it, so that it has to outlive the process that says it, where that has a lasting folder. */
     default boolean binds() {
         return !(this instanceof Probe || this instanceof Relay || this instanceof Answer || this instanceof Ask || this instanceof Part
@@ -164,7 +162,7 @@
     }
 
     /** A part of a view, from an index on. */
-    record ViewPart(Teller from, ViewId of, int index, int size, List<Member> members) implements Message {
+    record ViewPart(Teller from, ViewId of, int index, int size, List<Member> members, Edition edition) implements Message {
         public ViewPart {
             Objects.requireNonNull(from);
             Objects.requireNonNull(of);
--- a/src/main/java/cobaltseam/membership/Succession.java
+++ b/src/main/java/cobaltseam/membership/Succession.java
@@ -118,7 +118,10 @@
             // Who comes in under a name that stays would hold it twice.
             List<Member> in = round.wanted().in().stream().filter(m -> seat.view().of(m.name()) == null
                     || out.stream().anyMatch(o -> o.name().equals(m.name()))).toList();
-            chosen = new Change(out, in);
+            // Against the edition that it follows: where another came first it is void.
+            boolean next = round.wanted().edition() != null
+                    && round.wanted().edition().number() == Edition.number(seat.view().edition()) + 1;
+            chosen = new Change(out, in, next ? round.wanted().edition() : null);
         }
         if (chosen.isEmpty()) {
             return new Step(seat.with((Round) null));
--- a/src/main/java/cobaltseam/membership/View.java
+++ b/src/main/java/cobaltseam/membership/View.java
@@ -5,16 +5,21 @@
 import java.util.List;
 import java.util.TreeMap;
 
-/** A numbered set of members, agreed by a majority of its predecessor; sorted by name, each name once. */
-public record View(ViewId id, List<Member> members) {
+/** A numbered set of members, agreed by a majority of its predecessor; sorted by name, each name once; and the
+ * edition of the agreed document, or null before the first. */
+public record View(ViewId id, List<Member> members, Edition edition) {
     public View {
         members = List.copyOf(members);
     }
 
     static View of(ViewId id, Collection<Member> members) {
+        return of(id, members, null);
+    }
+
+    static View of(ViewId id, Collection<Member> members, Edition edition) {
         TreeMap<MemberName, Member> sorted = new TreeMap<>();
         members.forEach(m -> sorted.put(m.name(), m));
-        return new View(id, List.copyOf(sorted.values()));
+        return new View(id, List.copyOf(sorted.values()), edition);
     }
 
     public int majority() {
@@ -48,6 +53,6 @@
         List<Member> left = new ArrayList<>(members);
         left.removeIf(m -> change.out().stream().anyMatch(o -> o.name().equals(m.name()) && o.birth().equals(m.birth())));
         left.addAll(change.in());
-        return of(id.next(), left);
+        return of(id.next(), left, change.edition() == null ? edition : change.edition());
     }
 }
--- a/src/main/java/cobaltseam/service/Installation.java
+++ b/src/main/java/cobaltseam/service/Installation.java
@@ -75,6 +75,12 @@
                 (int) Math.max(1, limits.whole("streams_per_conn", 1)));
     }
 
+    /** The same with other settings of decisions. */
+    Installation with(Deployment other) {
+        return new Installation(name, listen, bus, seed, sockets, memoryBytes, knownOffset, known, other, connectTimeout, connectionIdle,
+                sendsPerConnection);
+    }
+
     /** The same deployment at other addresses. */
     Installation movedTo(InetSocketAddress listensOn, InetSocketAddress busAt, List<Roster> engines) {
         return new Installation(name, listensOn, busAt, seed, sockets, memoryBytes, knownOffset, engines, deployment,
--- a/src/main/java/cobaltseam/service/Members.java
+++ b/src/main/java/cobaltseam/service/Members.java
@@ -1,6 +1,7 @@
 package cobaltseam.service;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
 import java.util.EnumMap;
@@ -11,6 +12,9 @@
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
+import cobaltseam.agreement.Acting;
+import cobaltseam.agreement.Doing;
+import cobaltseam.agreement.Word;
 import cobaltseam.dispatch.Deployment;
 import cobaltseam.dispatch.Moment;
 import cobaltseam.dispatch.Span;
@@ -26,6 +30,7 @@
 import cobaltseam.membership.MemberName;
 import cobaltseam.membership.Membership;
 import cobaltseam.membership.Message;
+import cobaltseam.membership.Spoken;
 import cobaltseam.membership.Standing;
 import cobaltseam.membership.Terms;
 import cobaltseam.membership.View;
@@ -48,6 +53,7 @@
     /** The view that an operator had this dispatcher found another line for, or null. */
     private String foundedAnew;
     private final int dispatchersTold;
+    private final Clients clients;
     private final Commands commands;
     /** Whether mastership tells the module how many dispatchers share the engines; membership then does not. */
     private final boolean masteredElsewhere;
@@ -65,14 +71,19 @@
     private Standing standing = Standing.NONE;
     private int sharedOver;
     private boolean broken, open;
+    /** What the lasting folder held at the start, or null. */
+    private final Kept former;
     /** Writes the lasting folder; null where there is none, and then why. */
     private final Writer writer;
+    /** The agreed settings, where they are on; else null. */
+    private Agreed agreed;
     private String folderState = "";
 
     Members(Setup.Fleet told, Installation installation, Commands commands, Clients clients, boolean masteredElsewhere, Inbox inbox,
             Clock clock, Deadlines deadlines, Counters counters) {
         this.told = told;
         this.commands = commands;
+        this.clients = clients;
         this.masteredElsewhere = masteredElsewhere;
         this.inbox = inbox;
         this.clock = clock;
@@ -93,7 +104,7 @@
         Member self = new Member(new MemberName(installation.name()), birth, told.advertise());
         SplittableRandom chance = new SplittableRandom(installation.seed() ^ System.nanoTime());
         WholeFile file = folder();
-        Kept former = file == null ? null : former(file);
+        former = file == null ? null : former(file);
         writer = folderState.isEmpty() ? new Writer(file, this::stored, this::notStored) : null;
         membership = writer == null ? new Membership(terms, self, chance) : Membership.lasting(terms, self, former, chance);
         clients.shows("members", this::rows);
@@ -171,6 +182,23 @@
         }
     }
 
+    Membership membership() {
+        return membership;
+    }
+
+    /** Whether a fault has ended it. */
+    boolean isEnded() {
+        return broken;
+    }
+
+    /** Proposes settings to the fleet. */
+    void propose(byte[] document) {
+        act(() -> {
+            agreed.propose(document, clock.now());
+            return List.of();
+        });
+    }
+
     /** What the own file says now: an operator's founding is heeded, all else waits for the next start. */
     void renewed(Setup.Fleet now) {
         boolean anew = now.foundAnew() != null && !now.foundAnew().equals(foundedAnew);
@@ -206,12 +234,44 @@
             return;
         }
         counters.add(Count.MEMBERSHIP_DATAGRAMS_TAKEN);
-        Message message = reading.message();
-        act(() -> membership.heard(message, clock.now()));
+        if (reading.message() instanceof Message message) {
+            act(() -> membership.heard(message, clock.now()));
+        } else if (reading.message() instanceof Word word && agreed != null) {
+            act(() -> {
+                agree(agreed.heard(word, clock.now()));
+                return List.of();
+            });
+        }
+    }
+
+    /** Has the fleet agree on the settings of decisions, from the start on. */
+    void agrees(Agreed on) {
+        agreed = on;
+        if (former != null) {
+            agreed.knows(former.documents());
+        }
+        clients.shows("agreement", () -> agreed.rows(clock.now()));
+    }
+
+    private void agree(List<Doing> doings) {
+        for (Doing doing : doings) {
+            if (doing instanceof Doing.Tell tell) {
+                tell(tell.to(), tell.word());
+            } else if (doing instanceof Doing.Of of) {
+                carryOut(of.act());
+            } else if (doing instanceof Doing.Acts acts) {
+                agreed.on(acts.on());
+            } else if (doing instanceof Doing.Noted noted) {
+                agreed.noted(noted);
+            }
+        }
     }
 
-    /** Before anything else is heard: whether this process stood still, for then its view may be an old one. */
+    /** Before anything else is heard: whether this process stood still, for then its view may be an old one, and its lease over. */
     void look() {
+        if (!broken && agreed != null && agreed.isOver(clock.now())) {
+            act(List::of);
+        }
         if (!broken && dueAt != null && clock.now().since(dueAt).compareTo(told.period().times(0.5)) > 0) {
             due();
         }
@@ -232,8 +292,15 @@
         try {
             asked.get().forEach(this::carryOut);
             Moment now = clock.now();
+            if (agreed != null) {
+                agree(agreed.follow(now));
+            }
             deadlines.cancel(wake);
             dueAt = membership.wake(now);
+            if (agreed != null && dueAt != null) {
+                Moment other = agreed.wake(now);
+                dueAt = other.before(dueAt) ? other : dueAt;
+            }
             wake = dueAt == null ? null : deadlines.set(dueAt, this::due);
             stands();
             shared(now);
@@ -244,7 +311,7 @@
 
     private void carryOut(Act act) {
         if (act instanceof Act.Tell tell) {
-            tell(tell);
+            tell(tell.to(), tell.message());
         } else if (act instanceof Act.Keep keep) {
             counters.add(Count.MEMBERSHIP_KEPT);
             writer.give(keep.number(), () -> KeptCodec.write(keep.what()));
@@ -267,17 +334,17 @@
         }
     }
 
-    private void tell(Act.Tell tell) {
-        byte[] bytes = codec.write(tell.message());
+    private void tell(InetSocketAddress to, Spoken message) {
+        byte[] bytes = codec.write(message);
         try {
             if (bytes == null) {
                 throw new IOException("longer than " + MessageCodec.LARGEST + " bytes");
             }
-            socket.send(bytes, tell.to());
+            socket.send(bytes, to);
             counters.add(Count.MEMBERSHIP_DATAGRAMS_SENT);
         } catch (IOException | RuntimeException e) {
             counters.add(Count.MEMBERSHIP_DATAGRAMS_UNSENT);
-            log.warn("no datagram to {0}: {1}", Field.of("peer", tell.to()), Field.of("reason", e.getMessage()),
+            log.warn("no datagram to {0}: {1}", Field.of("peer", to), Field.of("reason", e.getMessage()),
                     Field.event("membership.unsent"));
         }
     }
@@ -310,6 +377,9 @@
         counters.add(Count.FAULTS);
         LOG.log(Level.ERROR, "a fault in membership, which ends here until the next start", e);
         broken = true;
+        if (agreed != null) {
+            agreed.on(new Acting(Acting.Mode.BACK, List.of()));
+        }
         deadlines.cancel(wake);
         deadlines.cancel(falls);
         close();
--- a/src/main/java/cobaltseam/service/Service.java
+++ b/src/main/java/cobaltseam/service/Service.java
@@ -6,6 +6,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -45,6 +46,8 @@
     private Hall hall;
     /** What takes part in a fleet, where the own file has one; else null. */
     private Members members;
+    /** The settings that the fleet agrees on, where the own file says so; else null. */
+    private Agreed agreed;
     private final Clock clock = new Clock();
     private final Deadlines deadlines = new Deadlines();
     private final Counters counters = new Counters();
@@ -98,6 +101,9 @@
         if (setup != null && setup.fleet() != null) {
             service.joins(setup.fleet());
         }
+        if (setup != null && setup.agreed() != null) {
+            service.agrees(setup.agreed(), Files.readAllBytes(Path.of(System.getenv("GW_CONFIG"))));
+        }
         service.readAnewOnHangUp(System.getenv());
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             service.stop();
@@ -182,24 +188,31 @@
         try {
             Installation anew = Installation.read(environment);
             Setup setup = own == null ? null : SetupReader.read(own);
+            byte[] document = agreed == null ? null : Agreed.document(Files.readAllBytes(Path.of(environment.get("GW_CONFIG"))));
             inbox.post(null, () -> {
-                renewed(anew);
+                renewed(anew, document);
                 if (setup != null) {
                     renewed(setup);
                 }
             });
-        } catch (RuntimeException e) {
+        } catch (IOException | RuntimeException e) {
             inbox.post(null, () -> counters.add(Count.CONFIGURATIONS_UNUSABLE));
             LOG.log(Level.ERROR, "the configuration stays as it was: {0}", Field.of("reason", e.getMessage()),
                     Field.event("configuration.unusable"));
         }
     }
 
-    private void renewed(Installation anew) {
+    private void renewed(Installation read, byte[] document) {
+        boolean agrees = document != null && !members.isEnded();
+        if (agrees) {
+            // Not this file moves the module, but the fleet, once it has agreed on what the file says.
+            members.propose(document);
+        }
+        Installation anew = agrees ? read.with(agreed.acts()) : read;
         if (!anew.name().equals(told.name()) || !anew.listen().equals(told.listen())) {
             LOG.log(Level.WARNING, "name and address stay until the next start", Field.event("configuration.partly"));
         }
-        if (!anew.deployment().equals(told.deployment())) {
+        if (!agrees && !anew.deployment().equals(told.deployment())) {
             commands.moveTo(anew.deployment());
             LOG.log(Level.INFO, "other settings of decisions act from now on, with {0} commands in hand",
                     Field.of("inHand", commands.inHand()), Field.event("configuration.moved"));
@@ -246,6 +259,13 @@
         hall = new Hall(with, told, fitness, commands, clients, acceptor, inbox, clock, deadlines, counters);
     }
 
+    /** Agrees with its fleet on the settings of decisions, from the start on. */
+    void agrees(Setup.Agreed with, byte[] configuration) {
+        agreed = new Agreed(with, members.membership(), told.deployment(), commands::moveTo, counters, new SplittableRandom(told.seed() ^ System.nanoTime()));
+        agreed.own(Agreed.document(configuration));
+        members.agrees(agreed);
+    }
+
     /** Takes part in a fleet from the start on. */
     void joins(Setup.Fleet with) {
         members = new Members(with, told, commands, clients, hall != null, inbox, clock, deadlines, counters);
--- a/src/main/java/cobaltseam/setup/Setup.java
+++ b/src/main/java/cobaltseam/setup/Setup.java
@@ -14,9 +14,9 @@
 import cobaltseam.seal.SealKeys;
 
 /** What our own file switches on; a part that is null is off. */
-public record Setup(boolean jsonLog, Hall hall, Fleet fleet) {
+public record Setup(boolean jsonLog, Hall hall, Fleet fleet, Agreed agreed) {
     /** Without a file: everything is off. */
-    public static final Setup OFF = new Setup(false, null, null);
+    public static final Setup OFF = new Setup(false, null, null, null);
 
     /** The group of dispatchers that share virtual addresses by VRRP; elsewhere is below zero where it is not set. */
     public record Hall(InetSocketAddress listen, List<InetSocketAddress> peers, Covers covers, boolean followsIntervals,
@@ -51,6 +51,10 @@
         }
     }
 
+    /** That the fleet agrees on the settings of decisions: for how long two members may contradict each other. */
+    public record Agreed(Span contradiction) {
+    }
+
     /** The keys of seals, the one to write with, and how much clocks may differ. */
     public record Sealing(SealKeys keys, int writeKey, Span clockDifference) {
     }
--- a/src/main/java/cobaltseam/setup/SetupReader.java
+++ b/src/main/java/cobaltseam/setup/SetupReader.java
@@ -90,7 +90,7 @@
         JsonNode mastership = told.path("mastership");
         JsonNode membership = told.path("membership");
         Setup setup = new Setup(json, mastership.isMissingNode() ? null : hall(mastership),
-                membership.isMissingNode() ? null : fleet(membership));
+                membership.isMissingNode() ? null : fleet(membership), agreed(told.path("agreement"), membership));
         end();
         return setup;
     }
@@ -232,6 +232,16 @@
                 fitness(told.path("fitness")));
     }
 
+    private Setup.Agreed agreed(JsonNode told, JsonNode membership) {
+        if (told.isMissingNode()) {
+            return null;
+        }
+        if (membership.isMissingNode()) {
+            wrong("agreement", told, "it needs [membership]: views carry what is agreed.");
+        }
+        return new Setup.Agreed(new Span(value(told, schema.at("/properties/agreement/properties"), "contradiction_ms").asLong() * US_PER_MS));
+    }
+
     private Setup.Fleet fleet(JsonNode told) {
         JsonNode keys = schema.at("/properties/membership/properties");
         InetSocketAddress listen = address("membership.listen", told.path("listen"));
--- a/src/test/java/cobaltseam/fleet/RealFleetTest.java
+++ b/src/test/java/cobaltseam/fleet/RealFleetTest.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import cobaltseam.fleet.Trouble.Kind;
 import cobaltseam.hall.MessageCodec;
@@ -192,6 +193,67 @@
         }
     }
 
+    private static void allAct(RealFleet fleet, int number, int... processes) throws InterruptedException {
+        for (long from = System.nanoTime();;) {
+            boolean all = true;
+            for (int i : processes) {
+                all &= fleet.acts(i).size() == 1 && fleet.acts(i).get(0).contains("/" + number + ":");
+            }
+            if (all) {
+                return;
+            }
+            assertTrue(System.nanoTime() - from < LONG_S * 1e9, "edition " + number + " is not acted on by all: " + fleet.acted());
+            Thread.sleep(20);
+        }
+    }
+
+    @Test
+    void settingsProposedBySighupAreActedOnByAllAndNeverBesideOthers() throws Exception {
+        List<Trouble> script = List.of(new Trouble(Kind.CUT, 2, 8, List.of(3, 4), List.of(), 1),
+                new Trouble(Kind.PAUSE, 12, 4, List.of(1), List.of(), 1), new Trouble(Kind.LOSS, 10, 8, List.of(), List.of(), 0.2));
+        try (RealFleet fleet = new RealFleet(RealFleet.Plan.of(5).agreeing(1000), script, 8, folder)) {
+            fleet.startAll();
+            settles(fleet);
+            allAct(fleet, 1, 0, 1, 2, 3, 4);
+            fleet.beginsNow();
+            Thread player = new Thread(() -> {
+                try {
+                    fleet.play();
+                } catch (Exception e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            player.start();
+            // Inside the cut: a majority of three takes the change, two are cut off and step back.
+            while (fleet.now() < 4) {
+                Thread.sleep(20);
+            }
+            fleet.settings(0, 2);
+            allAct(fleet, 2, 0, 1, 2);
+            awaitLogged(fleet, 3, "agreement.stepped_back");
+            while (fleet.now() < 13) {
+                Thread.sleep(20);
+            }
+            // While one stands still and a fifth is lost it may be refused, as no majority is heard for a moment: it is said again.
+            fleet.settings(2, 1);
+            player.join();
+            for (long from = System.nanoTime(); fleet.acts(2).isEmpty() || !fleet.acts(2).get(0).contains("/3:");) {
+                assertTrue(System.nanoTime() - from < LONG_S * 1e9, "not proposed: " + fleet.acted());
+                fleet.settings(2, 1);
+                Thread.sleep(1000);
+            }
+            allAct(fleet, 3, 0, 1, 2, 3, 4);
+            java.io.StringWriter said = new java.io.StringWriter();
+            assertEquals(0, cobaltseam.cli.Cobaltseam.run(new java.io.PrintWriter(said), "members", "--to", "127.0.0.1:" + fleet.port(4),
+                    "--show", "agreement"));
+            assertTrue(said.toString().contains("acts  plain on [3:"), said.toString());
+            Acted.Contradiction longest = Acted.longest(fleet.acted(), Set.of(), fleet.clock());
+            // Its own logs are read a little late, so that a few ms may seem to overlap; the bound is that of the settings.
+            assertTrue(longest.seconds() <= 1, longest.toString());
+            assertEquals(List.of(), Acted.twoUnderOneNumber(fleet.acted()));
+        }
+    }
+
     @Test
     void forgedAndForeignDatagramsAreRefusedAndEndNothing() throws Exception {
         try (RealFleet fleet = new RealFleet(RealFleet.Plan.of(3), List.of(), 4, folder)) {
--- a/src/test/java/cobaltseam/hall/MessageCodecTest.java
+++ b/src/test/java/cobaltseam/hall/MessageCodecTest.java
@@ -1,5 +1,6 @@
 package cobaltseam.hall;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -9,10 +10,12 @@
 import java.util.Arrays;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 
 import cobaltseam.hall.MessageCodec.Refusal;
+import cobaltseam.agreement.Word;
 import cobaltseam.membership.Ballot;
 import cobaltseam.membership.Birth;
 import cobaltseam.membership.Change;
@@ -20,6 +23,9 @@
 import cobaltseam.membership.Member;
 import cobaltseam.membership.MemberName;
 import cobaltseam.membership.Message;
+import cobaltseam.membership.View;
+import cobaltseam.membership.Kept;
+import cobaltseam.membership.Edition;
 import cobaltseam.membership.Message.Teller;
 import cobaltseam.membership.News;
 import cobaltseam.membership.ViewId;
@@ -44,7 +50,7 @@
             new Message.Found(FROM, 1, List.of(A, B)), new Message.Consent(FROM, 1), new Message.Prepare(FROM, OF, BALLOT, List.of(B.name())),
             new Message.Promise(FROM, OF, BALLOT, null, null, List.of()), new Message.Promise(FROM, OF, BALLOT, BALLOT, CHANGE, List.of(B.name())),
             new Message.Refuse(FROM, OF, BALLOT, BALLOT), new Message.Accept(FROM, OF, BALLOT, CHANGE), new Message.Accepted(FROM, OF, BALLOT),
-            new Message.Decided(FROM, OF, CHANGE), new Message.AskView(FROM, OF, 48), new Message.ViewPart(FROM, OF, 0, 2, List.of(A, B)));
+            new Message.Decided(FROM, OF, CHANGE), new Message.AskView(FROM, OF, 48), new Message.ViewPart(FROM, OF, 0, 2, List.of(A, B), null));
     /** A probe as version 1 of the form wrote it, on the day that it was made. */
     private static final String RECORDED = "bf61760161666372696761"
             + "6b6550726f6265616dbf6466726f6dbf666d656d626572bf646e616d656161656269727468016761646472657373"
@@ -64,10 +70,31 @@
         assertEquals(Message.class.getPermittedSubclasses().length, ONE_EACH.stream().map(Object::getClass).distinct().count());
     }
 
+    @Test
+    void everyWordOfTheAgreementComesBackAsItWas() {
+        Edition edition = new Edition(3, "ab".repeat(32), A.name());
+        for (Word word : List.of(new Word.Renew(FROM, -1), new Word.Granted(FROM, 1), new Word.Offer(FROM, edition, 99),
+                new Word.Checked(FROM, edition, null), new Word.Checked(FROM, edition, "no"), new Word.Want(FROM, edition.hash(), 4))) {
+            assertEquals(word, codec.read(codec.write(word)).message());
+        }
+        Word.Piece piece = (Word.Piece) codec.read(codec.write(new Word.Piece(FROM, edition.hash(), 1, 3, new byte[] {7, -8}))).message();
+        assertArrayEquals(new byte[] {7, -8}, piece.bytes());
+        Message.ViewPart part = new Message.ViewPart(FROM, OF, 0, 1, List.of(A), edition);
+        assertEquals(part, codec.read(codec.write(part)).message());
+    }
+
+    @Test
+    void whatAMemberKeepsComesBackAsItWas() {
+        View view = new View(OF, List.of(A, B), new Edition(1, "0f".repeat(32), B.name()));
+        Kept kept = new Kept(A, 3, view, BALLOT, BALLOT, CHANGE, new Birth(9), 4, Map.of(7L, 8L), Map.of(1L, 2L), List.of());
+        assertEquals(kept, KeptCodec.read(KeptCodec.write(kept)).orElseThrow());
+        assertTrue(KeptCodec.read(new byte[] {1, 2, 3}).isEmpty());
+    }
+
     @Test
     void aRecordedMessageOfTheFirstFormIsRead() {
         MessageCodec plain = new MessageCodec("rig", null, 0);
-        Message message = plain.read(HexFormat.of().parseHex(RECORDED)).message();
+        Object message = plain.read(HexFormat.of().parseHex(RECORDED)).message();
         Teller teller = new Teller(new Member(new MemberName("a"), new Birth(1), A.address()), 0, ViewId.NONE, false);
         assertEquals(new Message.Probe(teller, 7, new MemberName("b"), List.of()), message);
     }
@@ -127,7 +154,7 @@
     @Test
     void whatIsTooLongIsNeitherWrittenNorRead() {
         List<Member> many = IntStream.range(0, 1000).mapToObj(i -> new Member(new MemberName("x" + i), A.birth(), A.address())).toList();
-        assertNull(codec.write(new Message.ViewPart(FROM, OF, 0, 1000, many)));
+        assertNull(codec.write(new Message.ViewPart(FROM, OF, 0, 1000, many, null)));
         assertEquals(Refusal.TOO_LONG, codec.read(new byte[MessageCodec.LARGEST + 1]).refusal());
         assertNotNull(codec.write(new Message.Accept(FROM, OF, BALLOT, new Change(many.subList(0, 128), many.subList(200, 264)))),
                 "the largest change of a view fits");
