--- a/src/main/java/cobaltseam/agreement/Agreement.java
+++ b/src/main/java/cobaltseam/agreement/Agreement.java
@@ -8,7 +8,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.HexFormat;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -17,19 +16,17 @@
 import cobaltseam.agreement.Acting.Mode;
 import cobaltseam.agreement.Doing.Event;
 import cobaltseam.agreement.Word.Checked;
-import cobaltseam.agreement.Word.Granted;
 import cobaltseam.agreement.Word.Offer;
 import cobaltseam.agreement.Word.Piece;
-import cobaltseam.agreement.Word.Renew;
 import cobaltseam.agreement.Word.Want;
 import cobaltseam.dispatch.Moment;
 import cobaltseam.dispatch.Span;
 import cobaltseam.membership.Edition;
+import cobaltseam.membership.Lease;
 import cobaltseam.membership.Member;
 import cobaltseam.membership.MemberName;
 import cobaltseam.membership.Membership;
 import cobaltseam.membership.View;
-import cobaltseam.membership.ViewId;
 
 /**
  * Which edition of an agreed document this process acts on, such that no two act on editions that contradict each other for longer
@@ -60,25 +57,17 @@
         boolean contradict(byte[] one, byte[] other);
     }
 
-    /** Parts of a lease: after which it is asked for again, and an offer that was not answered told again. */
-    private static final double RENEW = 0.25;
+    /** The part of a lease after which an offer that was not answered is told again. */
     private static final double AGAIN = 0.125;
     /** Leases for which a proposal waits for those who do not answer, and after which it is given up. */
     private static final double WAITS = 0.5;
     private static final double GIVES_UP = 10;
-    private static final int MOST_ROUNDS = 8;
     /** More editions that some process may still act on make a process step back in place of reading between them. */
     private static final int MOST_BETWEEN = 8;
     private static final int PIECE = 8192;
     /** Documents of no edition here that are held yet: others may ask for them. */
     private static final int MOST_SPARE = 4;
 
-    private static final class Round {
-        ViewId view;
-        Moment sent;
-        final Set<MemberName> grants = new HashSet<>();
-    }
-
     private record Earlier(Edition edition, Moment until) {
     }
 
@@ -99,17 +88,16 @@
 
     private final Terms terms;
     private final Membership membership;
+    private final Lease lease;
     private final Documents documents;
     private final RandomGenerator chance;
     private final List<Doing> doings = new ArrayList<>();
     private final Map<String, byte[]> contents = new HashMap<>();
-    private final Map<Long, Round> rounds = new LinkedHashMap<>();
     private final List<Earlier> earlier = new ArrayList<>();
     /** What a first edition is made of, where the view has none. */
     private byte[] own;
     private String ownHash;
     private View held;
-    private Moment leaseUntil, renewAt;
     /** Until then others may act on editions that are not known here, or were taken out with one. */
     private Moment freshUntil, removedUntil;
     private Acting acting = new Acting(Mode.BACK, List.of());
@@ -122,9 +110,11 @@
     private Edition candidate;
     private Member offeredBy;
 
-    public Agreement(Terms terms, Membership membership, Documents documents, RandomGenerator chance) {
+    /** @param lease on the view, for as long as {@code contradiction} */
+    public Agreement(Terms terms, Membership membership, Lease lease, Documents documents, RandomGenerator chance) {
         this.terms = terms;
         this.membership = membership;
+        this.lease = lease;
         this.documents = documents;
         this.chance = chance;
         membership.accepts(this::has, this::content);
@@ -160,7 +150,7 @@
 
     /** How long this process may yet act without hearing from a majority. */
     public Span leaseLeft(Moment now) {
-        return leaseUntil == null || !now.before(leaseUntil) ? Span.ZERO : leaseUntil.since(now);
+        return lease.left(now);
     }
 
     /** The content of an edition, or null if it is not here. */
@@ -175,26 +165,24 @@
 
     /** After so long all leases that were given before have ended, whichever clock is the slower. */
     private Span outlasts() {
-        return terms.contradiction.times(1 + 2 * terms.clockRates);
+        return lease.outlasts();
     }
 
     /** When {@link #follow} is to be asked again. */
     public Moment wake(Moment now) {
-        Moment wake = renewAt == null ? now.plus(terms.contradiction.times(RENEW)) : renewAt;
-        if (proposal != null || coming != null) {
-            wake = earliest(wake, now.plus(terms.contradiction.times(AGAIN)));
-        }
-        wake = acting.mode() == Mode.BACK ? wake : earliest(wake, leaseUntil);
-        wake = freshUntil != null && now.before(freshUntil) ? earliest(wake, freshUntil) : wake;
+        // What could not be done by now is tried again then; what comes sooner, such as a lease's end, is not passed over for it.
+        boolean pending = proposal != null || coming != null || acting.mode() == Mode.BACK;
+        Moment wake = now.plus(terms.contradiction.times(pending ? AGAIN : 2 * AGAIN));
+        wake = acting.mode() == Mode.BACK ? wake : soonest(wake, lease.until(), now);
+        wake = soonest(wake, freshUntil, now);
         for (Earlier e : earlier) {
-            wake = earliest(wake, e.until);
+            wake = soonest(wake, e.until, now);
         }
-        // What could not be done by then is tried again, and not at once.
-        return now.before(wake) ? wake : now.plus(terms.contradiction.times(AGAIN));
+        return wake;
     }
 
-    private static Moment earliest(Moment one, Moment other) {
-        return other == null || one.before(other) ? one : other;
+    private static Moment soonest(Moment wake, Moment other, Moment now) {
+        return other == null || other.before(now) || !other.before(wake) ? wake : other;
     }
 
     private List<Doing> done() {
@@ -220,7 +208,6 @@
             viewed(view, now);
         }
         if (view != null) {
-            renew(view, now);
             fetch(view, now);
             first(view, now);
             proposes(view, now);
@@ -247,42 +234,8 @@
         }
         if (!sameLine) {
             earlier.clear();
-            leaseUntil = null;
         }
         held = view;
-        renewAt = now;
-    }
-
-    // ---- the lease
-
-    private void renew(View view, Moment now) {
-        if (renewAt != null && now.before(renewAt) || !membership.isNewest()) {
-            return;
-        }
-        renewAt = now.plus(terms.contradiction.times(RENEW));
-        Round round = new Round();
-        round.view = view.id();
-        round.sent = now;
-        long id = chance.nextLong();
-        rounds.put(id, round);
-        if (rounds.size() > MOST_ROUNDS) {
-            rounds.remove(rounds.keySet().iterator().next());
-        }
-        for (Member m : view.members()) {
-            if (!m.name().equals(membership.self().name())) {
-                tell(m, new Renew(membership.teller(), id));
-            }
-        }
-        granted(round, membership.self(), view);
-    }
-
-    /** One of a round's view says that at a moment after it was asked the view had no successor. */
-    private void granted(Round round, Member by, View view) {
-        round.grants.add(by.name());
-        if (round.grants.size() >= view.majority()) {
-            Moment until = round.sent.plus(terms.contradiction);
-            leaseUntil = leaseUntil == null || leaseUntil.before(until) ? until : leaseUntil;
-        }
     }
 
     // ---- documents
@@ -493,14 +446,7 @@
         if (!membership.spoke(word, now) || view == null || !view.holds(from.name(), from.birth())) {
             return follow(now);
         }
-        if (word instanceof Renew r && membership.isNewest() && r.from().view().equals(view.id())) {
-            tell(from, new Granted(membership.teller(), r.id()));
-        } else if (word instanceof Granted g) {
-            Round round = rounds.get(g.id());
-            if (round != null && round.view.equals(view.id()) && g.from().view().equals(round.view)) {
-                granted(round, from, view);
-            }
-        } else if (word instanceof Offer o && o.edition().number() == Edition.number(view.edition()) + 1 && o.size() <= terms.largest) {
+        if (word instanceof Offer o && o.edition().number() == Edition.number(view.edition()) + 1 && o.size() <= terms.largest) {
             candidate = o.edition();
             offeredBy = from;
             if (contents.containsKey(candidate.hash())) {
--- a/src/main/java/cobaltseam/agreement/Word.java
+++ b/src/main/java/cobaltseam/agreement/Word.java
@@ -8,20 +8,6 @@
 
 /** What members tell each other of the agreed document. The teller's view says which edition it holds. */
 public sealed interface Word extends Spoken {
-    /** Is the teller's view still the newest? */
-    record Renew(Teller from, long id) implements Word {
-        public Renew {
-            Objects.requireNonNull(from);
-        }
-    }
-
-    /** Yes: the teller holds the same view, and nothing that would follow it is on its way there. */
-    record Granted(Teller from, long id) implements Word {
-        public Granted {
-            Objects.requireNonNull(from);
-        }
-    }
-
     /** An edition that the teller would have the next view hold; to be fetched, checked and answered. */
     record Offer(Teller from, Edition edition, int size) implements Word {
         public Offer {
--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -15,7 +15,7 @@
  * All decisions of one dispatcher. Callers hand a new command to {@link #place}, each outcome to
  * {@link #after}, and after every call follow {@link #pause} until it names a span to wait; other
  * news comes by {@link #listed}, {@link #progressed} and {@link #departed}. The values that pass are
- * the records beside this file. An instance knows only its own traffic and shares nothing.
+ * the records beside this file. An instance knows its own traffic, and shares nothing.
  *
  * <p>The ordinary path: each engine has a thread budget of two threads a core, split evenly over the
  * dispatchers. A command goes where most budget is left per core and waits, first come first served,
@@ -102,6 +102,7 @@
     private double meanThreads = 1;
     private Span meanStay;
     private long arrivals;
+    private double offered;
     /** Work of the last commands taken, and their benefit for it. */
     private final double[] recentTime = new double[RECENT], recentDensity = new double[RECENT];
 
@@ -125,14 +126,12 @@
             return locations != null && locations.isEmpty() || kinds != null && kinds.isEmpty();
         }
     }
-
     /** How cold an engine starts, for how long, and how many times what it can do it may be sent here. */
     record Cold(double from, Span within, double multiple) {
         Cold and(Cold o) {
             return new Cold(Math.min(from, o.from), within.max(o.within), Math.min(multiple, o.multiple));
         }
     }
-
     /** What outcomes tell of one figure: their sum and number, both fading with time and with news. */
     static final class Evidence {
         double sum, weight;
@@ -140,10 +139,6 @@
             sum += news - sum * step;
             weight += 1 - weight * step;
         }
-        void take(Evidence other) {
-            sum = other.sum;
-            weight = other.weight;
-        }
         void fade(double keep) {
             sum *= keep;
             weight *= keep;
@@ -153,7 +148,6 @@
             return (sum + believed * BELIEF) / (weight + BELIEF);
         }
     }
-
     public Dispatcher(Deployment told, long seed) {
         chance = new SplittableRandom(seed);
         read(told);
@@ -173,8 +167,7 @@
         overShareWorth = told.overShareWorth();
         home = told.place().crossingCosts() ? told.place().location() : null;
         Deployment.Rules rules = told.rules();
-        double multiple = rules.fallMultiple() * COLD_CAUTION / dispatchers;
-        cold = new Cold(rules.coldFrom(), rules.warmWithin(), multiple);
+        cold = new Cold(rules.coldFrom(), rules.warmWithin(), rules.fallMultiple() * COLD_CAUTION / dispatchers);
         if (rules.furtherWindow() != null) {
             rations.removeIf(r -> r.same(rules));
             rations.add(new Ration(rules.furtherFree(), rules.furtherRatio(), rules.furtherWindow(), null));
@@ -400,6 +393,20 @@
         e.memoryPerThread = kind == null ? 0 : kind.memoryMb() / e.whole;
     }
 
+    /** What an engine told another dispatcher of the commands in hand there, at this moment or later. */
+    public void reported(EngineId id, double inHand, Moment at) {
+        Engine e = engines.get(id);
+        if (e != null && (e.reported == null || e.reported.before(at)) && e.started.before(at)) {
+            e.inHand = inHand;
+            e.reported = at;
+            load.add(inHand / e.cores, NEWS);
+        }
+    }
+
+    /** The work of all commands taken so far, in microseconds of one thread: what this dispatcher needs. */
+    public double offered() {
+        return offered;
+    }
     /** Whether nothing is held, out, or counted anywhere. */
     boolean idle() {
         return open.isEmpty() && held.isEmpty() && sorted.stream().allMatch(e -> e.threads == 0);
@@ -932,6 +939,7 @@
             holder.tokens -= cmd.overShare ? 0 : 1;
         }
         cmd.drop = tooDear(cmd);
+        offered += work(cmd);
         forget(now);
         taken.addLast(now);
         while (!emptied.isEmpty() && rested(lines.get(emptied.peekFirst()), now)) {
@@ -968,8 +976,7 @@
         recentTime[at] = time;
         recentDensity[at] = density;
         double pace = pace(cmd.way);
-        return below < all * (1 - NEAR / (pace * pace)) && arrivals * NEWS >= 2
-                && full > LEAST_SHARE;
+        return below < all * (1 - NEAR / (pace * pace)) && arrivals * NEWS >= 2 && full > LEAST_SHARE;
     }
     /** Without estimates, what answers took tells the usual work of a profile. */
     private static void learnWork(Way way, double work) {
--- a/src/main/java/cobaltseam/dispatch/State.java
+++ b/src/main/java/cobaltseam/dispatch/State.java
@@ -36,7 +36,7 @@
         double need;
         long needs;
         /** How slow its answers are, of all engines; narrow profiles may be quick where wide ones wait. */
-        final Evidence slow = new Evidence();
+        Evidence slow = new Evidence();
 
         /** Takes over what the same profile showed under earlier settings. */
         void learnt(Way old) {
@@ -48,7 +48,7 @@
             calm = old.calm;
             need = old.need;
             needs = old.needs;
-            slow.take(old.slow);
+            slow = old.slow;
         }
     }
 
--- a/src/main/java/cobaltseam/emulator/Emulate.java
+++ b/src/main/java/cobaltseam/emulator/Emulate.java
@@ -36,11 +36,25 @@
         if (name.equals("module")) {
             return (told, seed, truth) -> Policy.module(new Dispatcher(told, seed));
         }
+        if (name.equals("fleet")) {
+            return (told, seed, sim) -> sim.fellowship(true, 0).joins(told, new Dispatcher(told, seed), seed);
+        }
+        if (name.startsWith("news-")) {
+            double roundMs = Double.parseDouble(name.substring(5));
+            return (told, seed, sim) -> sim.fellowship(false, roundMs).joins(told, new Dispatcher(told, seed), seed);
+        }
+        if (name.equals("fleet-true")) {
+            return (told, seed, sim) -> {
+                Dispatcher d = new Dispatcher(told, seed);
+                d.sharedOver(1 / sim.trafficOf(told.number()));
+                return Policy.module(d);
+            };
+        }
         try {
             Baseline.Choice choice = Baseline.Choice.valueOf(name.toUpperCase(Locale.ROOT).replace('-', '_'));
             return (told, seed, truth) -> new Baseline(choice, told, new SplittableRandom(seed), truth.truth());
         } catch (IllegalArgumentException e) {
-            throw new BadInput("policy '" + name + "' stands there; module, random, round-robin, least-in-hand, two-choices, "
+            throw new BadInput("policy '" + name + "' stands there; module, fleet, fleet-true, news-100 (or another round in ms), random, round-robin, least-in-hand, two-choices, "
                     + "shortest-late or clairvoyant is allowed");
         }
     }
@@ -62,6 +76,9 @@
         @Option(names = "--load", paramLabel = "SHARE", description = "of the world's capacity, in place of its rate")
         Double load;
 
+        @Option(names = "--skew", paramLabel = "POWER", description = "dispatchers carry parts as 1 / rank to this power, in place of the world's")
+        Double skew;
+
         World world() {
             World w = Worlds.named(world);
             World.Engines e = w.engines();
@@ -78,7 +95,7 @@
                     .map(h -> new World.Holder(h.name(), h.part(), h.perSecond() * perSecond / Math.max(1e-9, l.perSecond()))).toList();
             return new World(w.name(), of, sized.dispatchers(), w.profiles(), holders, new World.Load(perSecond, l.swing(), l.swingS(),
                     l.burstEveryS(), l.burstTimes(), l.burstS(), l.dataSets(), l.skew(), l.retries(), l.estimateError(),
-                    l.closedClients(), l.thinkMs()), w.net(), w.roster(), w.limits());
+                    l.closedClients(), l.thinkMs(), skew != null ? skew : l.dispatcherSkew()), w.net(), w.roster(), w.limits());
         }
 
         @Option(names = "--script", paramLabel = "FILE", description = "faults from a file, in place of drawn ones")
@@ -191,15 +208,17 @@
         public Integer call() {
             PrintWriter out = spec.commandLine().getOut();
             World world = common.world();
-            out.println("| policy | emulated goodput, mean of seeds | least | rules broken | commands a second and core |");
-            out.println("| --- | --- | --- | --- | --- |");
+            out.println("| policy | emulated goodput, mean of seeds | least | rules broken | busiest engine over the mean | idlest | commands a second and core |");
+            out.println("| --- | --- | --- | --- | --- | --- | --- |");
             for (String name : names) {
                 List<Simulation.Result> results = IntStream.range(0, runs).parallel().mapToObj(i -> new Simulation(world, policies(name),
                         common.drawn(world, common.seed + i), common.seconds, common.seed + i).run()).toList();
-                out.printf(Locale.ROOT, "| %s | %.4f | %.4f | %d | %.0f |%n", name,
+                out.printf(Locale.ROOT, "| %s | %.4f | %.4f | %d | %.2f | %.2f | %.0f |%n", name,
                         results.stream().mapToDouble(r -> r.tally().goodput()).average().orElse(0),
                         results.stream().mapToDouble(r -> r.tally().goodput()).min().orElse(0),
                         results.stream().mapToLong(Simulation.Result::brokenRules).sum(),
+                        results.stream().mapToDouble(r -> r.tally().busiest()).average().orElse(0),
+                        results.stream().mapToDouble(r -> r.tally().idlest()).average().orElse(0),
                         results.stream().mapToDouble(Simulation.Result::pace).average().orElse(0));
                 out.flush();
             }
--- a/src/main/java/cobaltseam/emulator/Policy.java
+++ b/src/main/java/cobaltseam/emulator/Policy.java
@@ -25,6 +25,45 @@
 
     void departed(CommandId command, Moment now);
 
+    /** Another one, and what is done beside it. */
+    class Passing implements Policy {
+        private final Policy to;
+
+        Passing(Policy to) {
+            this.to = to;
+        }
+
+        @Override
+        public Placement place(Command command, Moment now) {
+            return to.place(command, now);
+        }
+
+        @Override
+        public Placement after(Outcome outcome, Moment now) {
+            return to.after(outcome, now);
+        }
+
+        @Override
+        public Pause pause(Moment now) {
+            return to.pause(now);
+        }
+
+        @Override
+        public void listed(List<Listing> list, boolean whole, Moment now) {
+            to.listed(list, whole, now);
+        }
+
+        @Override
+        public void progressed(CommandId command, int send, double share, Moment now) {
+            to.progressed(command, send, share, now);
+        }
+
+        @Override
+        public void departed(CommandId command, Moment now) {
+            to.departed(command, now);
+        }
+    }
+
     /** The decision module itself. */
     static Policy module(Dispatcher d) {
         return new Policy() {
--- a/src/main/java/cobaltseam/emulator/Simulation.java
+++ b/src/main/java/cobaltseam/emulator/Simulation.java
@@ -57,6 +57,9 @@
 
     private static final long START_US = 1_000_000_000L;
     private static final double LONGEST_RETRY_S = 0.05;
+    /** From when on and how often it is looked how even the engines are loaded. */
+    private static final long LOOK_FROM_US = START_US + 10_000_000;
+    private static final long LOOK_US = 200_000;
     private static final int KEYS = 64;
     private static final long FNV_PRIME = 0x100000001b3L;
 
@@ -80,6 +83,9 @@
     private final double[] profileParts;
     private final double[] holderParts;
     private final double[] dataParts;
+    /** Sums of the dispatchers' parts of the traffic; null where all carry alike. */
+    private final double[] hostParts;
+    private Fellowship fellowship;
     private final double[] flooded;
     private final double endS;
     private int rosterStops;
@@ -95,6 +101,7 @@
         endS = seconds;
         referee = new Referee(world, time);
         tally = new Tally(world.profiles().size());
+        hostParts = hostParts(world);
         SplittableRandom all = new SplittableRandom(seed);
         arrivals = all.split();
         works = all.split();
@@ -127,6 +134,7 @@
         for (Fault fault : faults) {
             time.at(at(fault.atS()), () -> begin(fault));
         }
+        time.at(LOOK_FROM_US, this::look);
         if (world.load().perSecond() > 0) {
             time.at(START_US, this::nextArrival);
         }
@@ -135,6 +143,38 @@
         }
     }
 
+    private static double[] hostParts(World world) {
+        Double skew = world.load().dispatcherSkew();
+        if (skew == null || skew == 0) {
+            return null;
+        }
+        double[] parts = new double[world.dispatchers()];
+        for (int i = 0; i < parts.length; i++) {
+            parts[i] = 1 / Math.pow(i + 1, skew);
+        }
+        return cumulative(parts);
+    }
+
+    /** The part of all traffic that a dispatcher gets. */
+    double trafficOf(int dispatcher) {
+        if (hostParts == null) {
+            return 1.0 / world.dispatchers();
+        }
+        double before = dispatcher == 0 ? 0 : hostParts[dispatcher - 1];
+        return (hostParts[dispatcher] - before) / hostParts[hostParts.length - 1];
+    }
+
+    /** The dispatchers as one fleet, for policies that have one. */
+    Fellowship fellowship(boolean spreads, double newsMs) {
+        fellowship = fellowship == null ? new Fellowship(world, time, spreads, newsMs) : fellowship;
+        return fellowship;
+    }
+
+    private void look() {
+        tally.looked(engines.stream().filter(e -> e.life == EngineModel.Life.RUNS).mapToDouble(EngineModel::threads).toArray());
+        time.at(time.nowUs() + LOOK_US, this::look);
+    }
+
     private static double[] cumulative(double[] parts) {
         double[] sums = parts.clone();
         Arrays.parallelPrefix(sums, Double::sum);
@@ -252,7 +292,7 @@
 
     private void attempt(Ask ask) {
         World.Profile p = ask.order.profile();
-        Host host = hosts.get(arrivals.nextInt(hosts.size()));
+        Host host = hosts.get(hostParts == null ? arrivals.nextInt(hosts.size()) : draw(hostParts, arrivals.nextDouble()));
         long there = time.nowUs() + Math.round(world.net().clientMs() * 1000);
         long until = time.nowUs() + p.timeout().us();
         CommandId id = new CommandId("c" + asked++);
--- a/src/main/java/cobaltseam/emulator/Tally.java
+++ b/src/main/java/cobaltseam/emulator/Tally.java
@@ -23,6 +23,8 @@
 
     private final List<Row> rows = new ArrayList<>();
     private final List<double[]> seconds = new ArrayList<>();
+    private double busiest, idlest;
+    private long looks;
     long taken;
     long sends;
     long further;
@@ -60,6 +62,33 @@
         second(askedUs)[1] += benefit;
     }
 
+    /** Threads of work on each engine at one moment. */
+    void looked(double[] threads) {
+        double mean = 0;
+        double most = 0;
+        double least = Double.MAX_VALUE;
+        for (double t : threads) {
+            mean += t / threads.length;
+            most = Math.max(most, t);
+            least = Math.min(least, t);
+        }
+        if (mean > 0) {
+            busiest += most / mean;
+            idlest += least / mean;
+            looks++;
+        }
+    }
+
+    /** Threads on the busiest engine over those on the mean one, at the mean of looks. */
+    public double busiest() {
+        return looks == 0 ? 0 : busiest / looks;
+    }
+
+    /** The same of the idlest. */
+    public double idlest() {
+        return looks == 0 ? 0 : idlest / looks;
+    }
+
     /** Benefit got of benefit offered: the goodput. */
     public double goodput() {
         double offered = rows.stream().mapToDouble(r -> r.benefitOffered).sum();
--- a/src/main/java/cobaltseam/emulator/World.java
+++ b/src/main/java/cobaltseam/emulator/World.java
@@ -48,10 +48,11 @@
     /**
      * What comes: commands a second, how much that swings in how many seconds, how often bursts come and how much more
      * they bring for how long, how skewed data sets are, how often clients ask again, and closed clients that ask one
-     * at a time with a pause between.
+     * at a time with a pause between. Dispatchers carry parts as 1 / rank to the power of their skew; without one all carry alike.
      */
     public record Load(double perSecond, double swing, double swingS, double burstEveryS, double burstTimes, double burstS,
-                       int dataSets, double skew, int retries, double estimateError, int closedClients, double thinkMs) {
+                       int dataSets, double skew, int retries, double estimateError, int closedClients, double thinkMs,
+                       Double dispatcherSkew) {
     }
 
     /** One way between dispatchers and engines, its spread, and between clients and dispatchers, in milliseconds. */
--- a/src/main/java/cobaltseam/fleet/Fleet.java
+++ b/src/main/java/cobaltseam/fleet/Fleet.java
@@ -21,7 +21,7 @@
 
 /** Fleets of dispatchers under troubles: in virtual time on the membership alone, and as real processes on loopback. */
 @Command(name = "fleet", description = "Plays fleets of dispatchers under scripts of troubles, and checks what they noted.",
-        subcommands = {Fleet.Run.class, Fleet.Hunt.class, Fleet.Shrinks.class, Fleet.Detect.class, Fleet.Steady.class, AgreeHunt.class}, mixinStandardHelpOptions = true,
+        subcommands = {Fleet.Run.class, Fleet.Hunt.class, Fleet.Shrinks.class, Fleet.Detect.class, Fleet.Steady.class, AgreeHunt.class, SpreadHunt.class}, mixinStandardHelpOptions = true,
         synopsisSubcommandLabel = "COMMAND")
 public final class Fleet implements Callable<Integer> {
     @CommandLine.Spec
@@ -374,7 +374,7 @@
         private List<Double> real() throws IOException, InterruptedException {
             List<Double> periods = new ArrayList<>();
             SplittableRandom chance = new SplittableRandom(common.seed);
-            RealFleet.Plan plan = new RealFleet.Plan(common.processes, periodMs, 3, Math.min(3, common.processes), common.folders);
+            RealFleet.Plan plan = new RealFleet.Plan(common.processes, periodMs, 3, Math.min(3, common.processes), common.folders, "", null);
             Path to = common.folder == null ? Files.createTempDirectory("fleet") : common.folder;
             try (RealFleet fleet = new RealFleet(plan, lossy(), common.seed, to)) {
                 fleet.startAll();
--- a/src/main/java/cobaltseam/fleet/RealFleet.java
+++ b/src/main/java/cobaltseam/fleet/RealFleet.java
@@ -12,6 +12,8 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -34,26 +36,47 @@
  * rule the processes. What each says of itself in its JSON log is kept in its folder and read as {@link Happening}s.
  */
 public final class RealFleet implements AutoCloseable {
-    /** What a fleet is made of. */
-    public record Plan(int processes, int periodMs, double patience, int founders, boolean folders, int contradictionMs) {
-        public Plan(int processes, int periodMs, double patience, int founders, boolean folders) {
-            this(processes, periodMs, patience, founders, folders, 0);
+    /**
+     * What a fleet is made of.
+     *
+     * @param own further lines of each process's own file
+     * @param engines the event bus of all processes and what they know of it at the start, or null for one dead engine
+     */
+    public record Plan(int processes, int periodMs, double patience, int founders, boolean folders, String own, Engines engines) {
+        public static Plan of(int processes) {
+            return new Plan(processes, 200, 3, Math.min(3, processes), false, "", null);
+        }
+
+        public Plan withFolders() {
+            return new Plan(processes, periodMs, patience, founders, true, own, engines);
         }
 
         /** All agree on the settings. */
         public Plan agreeing(int ms) {
-            return new Plan(processes, periodMs, patience, founders, folders, ms);
+            return with("[agreement]\ncontradiction_ms = " + ms);
         }
 
-        public static Plan of(int processes) {
-            return new Plan(processes, 200, 3, Math.min(3, processes), false);
+        /** Parts of the engines follow demand, and what each uses is logged. */
+        public Plan spreading(int leaseMs) {
+            return with("[spread]\nby = \"demand\"\nlease_ms = " + leaseMs + "\nround_ms = 300\nwindow_ms = 1500\naudit = true");
         }
 
-        public Plan withFolders() {
-            return new Plan(processes, periodMs, patience, founders, true, contradictionMs);
+        public Plan with(String lines) {
+            return new Plan(processes, periodMs, patience, founders, folders, own + "\n" + lines, engines);
+        }
+
+        public Plan with(Engines at) {
+            return new Plan(processes, periodMs, patience, founders, folders, own, at);
         }
     }
 
+    /** Where the event bus is, and its first events as JSON. */
+    public record Engines(InetSocketAddress bus, List<String> known) {
+        static final Engines DEAD = new Engines(new InetSocketAddress("127.0.0.1", 1), List.of(
+                "{\"offset\":1,\"topology\":{\"rev\":1,\"all\":true,\"targets\":[{\"uid\":\"s-00000001\",\"endpoint\":\"127.0.0.1:1\",\"az\":\"z\","
+                + "\"model\":\"m\",\"state\":\"in_service\",\"boot_ms\":0}]}}"));
+    }
+
     private static final class One {
         Process process;
         /** The birth that it last told, and the view; zero and null before. */
@@ -80,6 +103,8 @@
     private final List<Happening> happenings = new ArrayList<>();
     private final List<String> acts = new ArrayList<>();
     private final List<Acted> actings = new ArrayList<>();
+    private final Parts parts = new Parts();
+    private final Map<Integer, Parts.Line> stoppedWith = new HashMap<>();
 
     public RealFleet(Plan plan, List<Trouble> troubles, long seed, Path folder) throws IOException {
         this.plan = plan;
@@ -109,16 +134,17 @@
 
     private void configure(int i) throws IOException {
         Path own = Files.createDirectories(folder.resolve(name(i)));
+        Engines engines = plan.engines == null ? Engines.DEAD : plan.engines;
         Files.writeString(own.resolve("config.json"), """
                 {"name":"%s","listen":"127.0.0.1:%d","seed":"%016x","limits":{"sockets":128,"memory_mb":64},
-                "bus":"127.0.0.1:1","known":{"offset":1,"batch":[{"offset":1,"topology":{"rev":1,"all":true,"targets":[
-                {"uid":"s-00000001","endpoint":"127.0.0.1:1","az":"z","model":"m","state":"in_service","boot_ms":0}]}}]},
+                "bus":"%s","known":{"offset":%d,"batch":[%s]},
                 "settings":{"balancers":%d,"position":%d,"tick_us":5000,
                 "classes":[{"name":"look","aim_us":500000,"hard_limit_us":3000000,"repeat":"read_like","late_value":0.5}],
                 "projects":[{"name":"acme","quota_rps":1000}],"machine_types":["m"],"family_info":{"cores_by_kind":[4]},
                 "rules":{"cold_from":0.3},"limits":{"most_tries":3,"cancel":true,"retry_after":true,"max_retry_after_us":500000,
                 "connect_timeout_us":250000,"conn_idle_us":30000000,"streams_per_conn":32}}}
-                """.formatted(name(i), ports[i], 0x8c1f30d27a5be964L + i, plan.processes, i));
+                """.formatted(name(i), ports[i], 0x8c1f30d27a5be964L + i, text(engines.bus()), engines.known().size(),
+                String.join(",", engines.known()), plan.processes, i));
         String seeds = IntStream.range(0, Math.min(8, plan.processes)).mapToObj(s -> "\"" + text(relays.seenAt(s)) + "\"")
                 .collect(Collectors.joining(", "));
         String founders = IntStream.range(0, plan.founders).mapToObj(f -> "\"" + name(f) + "\"").collect(Collectors.joining(", "));
@@ -135,7 +161,7 @@
                 period_ms = %d
                 patience = %s
                 %s
-                """.formatted(plan.contradictionMs > 0 ? "[agreement]\ncontradiction_ms = " + plan.contradictionMs : "", text(relays.listensAt(i)), text(relays.seenAt(i)), seeds, founders, plan.periodMs, plan.patience,
+                """.formatted(plan.own, text(relays.listensAt(i)), text(relays.seenAt(i)), seeds, founders, plan.periodMs, plan.patience,
                 plan.folders ? "folder = \"kept\"" : ""));
     }
 
@@ -162,6 +188,21 @@
         return isAlive(i) ? all[i].acts : List.of();
     }
 
+    /** The part of the engines that a process uses now; 0 if none. */
+    public double part(int i) {
+        Parts.Line now = parts.now(i);
+        return now == null ? 0 : now.at(us());
+    }
+
+    /** The most of the engines that all used at one time, by their logs. */
+    public double mostUsed() {
+        return parts.most(us()).part();
+    }
+
+    private static long us() {
+        return ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now());
+    }
+
     /** Seconds since this fleet was made, whenever its script began. */
     public double clock() {
         return (System.nanoTime() - made) / 1e9;
@@ -260,6 +301,8 @@
             String of = one.view == null ? "none" : Checker.line(one.view);
             one.acts = back ? List.of() : Arrays.stream(line.path("editions").asText().split(" ")).map(e -> of + "/" + e).toList();
             acts(i, one.acts);
+        } else if (event.equals("spread.parts") && !former && !one.stopped) {
+            parts.uses(Parts.Line.read(i, line.path("us").asLong(), line.path("steps").asText()));
         } else if (event.equals("membership.standing") && !former) {
             one.standing = line.path("standing").asText();
         }
@@ -282,6 +325,7 @@
     public void kill(int i) throws InterruptedException {
         acted("kill", i);
         all[i].process.destroyForcibly().waitFor();
+        parts.ends(i, us());
         acts(i, List.of());
     }
 
@@ -294,14 +338,19 @@
     public void stop(int i) throws IOException, InterruptedException {
         acted("stop", i);
         signal(i, "STOP");
+        // What it wrote before it stood still is read first.
+        TimeUnit.MILLISECONDS.sleep(50);
         all[i].stopped = true;
+        stoppedWith.put(i, parts.now(i));
+        parts.ends(i, us());
         acts(i, List.of());
     }
 
     public void go(int i) throws IOException, InterruptedException {
         acts(i, all[i].acts);
-        signal(i, "CONT");
+        parts.goesOn(stoppedWith.remove(i), us());
         all[i].stopped = false;
+        signal(i, "CONT");
         acted("cont", i);
     }
 
--- a/src/main/java/cobaltseam/fleet/VirtualFleet.java
+++ b/src/main/java/cobaltseam/fleet/VirtualFleet.java
@@ -19,21 +19,24 @@
 import cobaltseam.agreement.Acting;
 import cobaltseam.agreement.Agreement;
 import cobaltseam.agreement.Doing;
-import cobaltseam.agreement.Word;
 import cobaltseam.dispatch.Moment;
 import cobaltseam.dispatch.Span;
 import cobaltseam.membership.Act;
 import cobaltseam.membership.Birth;
+import cobaltseam.ground.Ground;
 import cobaltseam.membership.Kept;
+import cobaltseam.membership.Lease;
 import cobaltseam.membership.Member;
 import cobaltseam.membership.MemberName;
 import cobaltseam.membership.Membership;
-import cobaltseam.membership.Message;
 import cobaltseam.membership.Spoken;
 import cobaltseam.membership.Standing;
 import cobaltseam.membership.Terms;
 import cobaltseam.membership.View;
 import cobaltseam.membership.ViewId;
+import cobaltseam.sharing.Figures;
+import cobaltseam.sharing.Sharing;
+import cobaltseam.spread.Holdings;
 
 /** A fleet of the real membership in virtual time, under a script of troubles. One seed, one history. */
 public final class VirtualFleet {
@@ -60,11 +63,14 @@
     private static final class Process {
         Membership membership;
         Agreement agreement;
+        Sharing sharing;
+        Holdings holdings;
+        Ground ground;
         /** Of its clock, over that of the world. */
         double rate = 1;
         /** Which process of this number it is; events of a former one are void. */
         long life;
-        boolean alive, started, following;
+        boolean alive, started;
         /** While it is dead: whether it comes back as the same member. */
         boolean resumes;
         double wake = Double.MAX_VALUE;
@@ -88,6 +94,7 @@
             return !(new String(one, StandardCharsets.UTF_8).startsWith("log") && new String(other, StandardCharsets.UTF_8).startsWith("log"));
         }
     };
+    private static final cobaltseam.sharing.Terms SHARING = new cobaltseam.sharing.Terms(new Span(500_000), 3, new Span(10_000_000), 8192, 0.001);
     private static final long TROUBLED = -1;
     private static final long COPIES = -2;
     private static final double SLOWEST_WRITE = 0.02;
@@ -109,6 +116,10 @@
     private final Map<Long, View> newest = new LinkedHashMap<>();
     private boolean lostMajority;
     private Agreement.Terms agreed;
+    private Lease.Terms leases;
+    private cobaltseam.spread.Terms divided;
+    private double[] demands;
+    private Most most = new Most(0, 0, false);
     private final List<Acted> acted = new ArrayList<>();
 
     public VirtualFleet(Plan plan, List<Trouble> troubles, long seed) {
@@ -192,7 +203,8 @@
 
     /** An operator has a process found another line in place of this view. */
     public void foundAnew(int i, ViewId said) {
-        carryOut(i, processes[i].membership.foundAnew(said, moment(i)));
+        processes[i].ground.foundAnew(said, moment(i));
+        wakes(i);
     }
 
     public int carriers(int i) {
@@ -255,7 +267,8 @@
             } else if (p.alive && e.life == p.life && p.writing == e.keep) {
                 p.kept = e.keep.what();
                 p.writing = null;
-                carryOut(e.process, p.membership.kept(e.keep.number()));
+                p.ground.kept(e.keep.number(), moment(e.process));
+                wakes(e.process);
             }
         } else if (e.message != null) {
             if (!p.alive || e.life != p.life) {
@@ -303,15 +316,13 @@
         if (p.wake < now - plan.periodS / 2) {
             due(i);
         }
-        if (message instanceof Message m) {
-            carryOut(i, p.membership.heard(m, moment(i)));
-        } else if (p.agreement != null) {
-            agrees(i, p.agreement.heard((Word) message, moment(i)));
-        }
+        p.ground.heard(message, moment(i));
+        wakes(i);
     }
 
     private void due(int i) {
-        carryOut(i, processes[i].membership.due(moment(i)));
+        processes[i].ground.due(moment(i));
+        wakes(i);
     }
 
     private void start(int i) {
@@ -334,15 +345,26 @@
         Member self = new Member(name(i), new Birth(++births), addresses.get(i));
         p.membership = plan.folders ? Membership.lasting(terms, self, p.kept, chance.split()) : new Membership(terms, self, chance.split());
         happenings.add(new Happening(now, i, p.membership.self().birth().value(), null, List.of(), true));
+        Lease lease = leases == null ? null : new Lease(leases, p.membership, chance.split());
         if (agreed != null) {
-            p.agreement = new Agreement(agreed, p.membership, TEXTS, chance.split());
+            p.agreement = new Agreement(agreed, p.membership, lease, TEXTS, chance.split());
             p.agreement.own("first".getBytes(StandardCharsets.UTF_8));
             if (p.kept != null) {
                 p.kept.documents().forEach(p.agreement::knows);
             }
             acts(i, null);
         }
-        carryOut(i, p.membership.start(moment(i)));
+        if (divided != null) {
+            p.sharing = new Sharing(p.membership.self().name(), p.membership.self().birth(), SHARING, chance.split(), moment(i));
+        }
+        p.ground = new Ground(p.membership, lease, p.agreement, p.sharing, out(i, p));
+        if (divided != null) {
+            p.holdings = new Holdings(divided, p.ground.under(), chance.split());
+            p.ground.holds(p.holdings);
+            needs(i, demands[i]);
+        }
+        p.ground.start(moment(i));
+        wakes(i);
     }
 
     /** A trouble of a process begins or ends. */
@@ -352,7 +374,7 @@
             boolean dies = t.kind().ends();
             if (dies && t.who().contains(i) && Math.abs(t.atS() - now) < 1e-9 && p.alive) {
                 if (t.kind() == Trouble.Kind.TERM && !stands(i)) {
-                    carryOut(i, p.membership.leave(moment(i)));
+                    p.ground.leave(moment(i));
                 }
                 p.alive = false;
                 acts(i, null);
@@ -375,7 +397,7 @@
             acts(i, null);
         } else if (p.alive) {
             if (p.agreement != null) {
-                agrees(i, p.agreement.follow(moment(i)));
+                p.ground.follow(moment(i));
                 acts(i, p.agreement.acting());
             }
             due(i);
@@ -415,42 +437,51 @@
                 view == null ? List.of() : view.members().stream().map(m -> m.name() + "#" + m.birth()).toList()));
     }
 
-    private void carryOut(int i, List<Act> acts) {
-        Process p = processes[i];
-        for (Act act : acts) {
-            if (act instanceof Act.Tell tell) {
-                tell(i, tell.to(), tell.message());
-            } else if (act instanceof Act.Keep keep) {
-                p.writing = keep;
-                events.add(new Event(now + SLOWEST_WRITE * chance.nextDouble(), turns++, i, p.life, null, keep));
-            } else if (act instanceof Act.Installed installed) {
-                note(i, installed.view());
-                View view = installed.view();
-                if (view != null && newest.merge(view.id().line(), view,
-                        (a, b) -> a.id().number() < b.id().number() ? b : a) == view) {
-                    lost(view);
+    private Ground.Out out(int i, Process p) {
+        long life = p.life;
+        return new Ground.Out() {
+            @Override
+            public void tell(InetSocketAddress to, Spoken message) {
+                VirtualFleet.this.tell(i, to, message);
+            }
+
+            @Override
+            public void act(Act act) {
+                if (act instanceof Act.Keep keep) {
+                    p.writing = keep;
+                    events.add(new Event(now + SLOWEST_WRITE * chance.nextDouble(), turns++, i, life, null, keep));
+                } else if (act instanceof Act.Installed installed) {
+                    note(i, installed.view());
+                    View view = installed.view();
+                    if (view != null && newest.merge(view.id().line(), view,
+                            (a, b) -> a.id().number() < b.id().number() ? b : a) == view) {
+                        lost(view);
+                    }
+                } else if (act instanceof Act.Noted noted) {
+                    notes.merge(noted.event().label(), 1, Integer::sum);
                 }
-            } else if (act instanceof Act.Noted noted) {
-                notes.merge(noted.event().label(), 1, Integer::sum);
             }
-        }
-        if (p.agreement != null && p.alive && !p.following) {
-            // Before anything else is done with what membership now knows.
-            p.following = true;
-            List<Doing> doings = p.agreement.follow(moment(i));
-            if (!doings.isEmpty()) {
-                agrees(i, doings);
+
+            @Override
+            public void doing(Doing doing) {
+                if (doing instanceof Doing.Acts on) {
+                    acts(i, on.on());
+                } else if (doing instanceof Doing.Noted noted) {
+                    notes.merge(noted.event().label(), 1, Integer::sum);
+                }
             }
-            p.following = false;
+        };
+    }
+
+    private void wakes(int i) {
+        Process p = processes[i];
+        if (divided != null) {
+            weigh();
         }
-        Moment wake = p.membership.wake(moment(i));
+        Moment wake = p.ground.wake(moment(i));
         if (wake == null) {
             return;
         }
-        if (p.agreement != null) {
-            Moment other = p.agreement.wake(moment(i));
-            wake = other.before(wake) ? other : wake;
-        }
         double at = Math.max(now + 1e-6, wake.us() / 1e6 / p.rate);
         if (at < p.wake || p.wake <= now) {
             p.wake = at;
@@ -458,11 +489,84 @@
         }
     }
 
+    // ---- the parts of a whole
+
+    /** From the next start of each process on, all hold parts of a whole; clocks run up to this part apart. */
+    public void divides(cobaltseam.spread.Terms terms, Lease.Terms under, double clocksApart) {
+        divided = terms;
+        leases = under;
+        demands = new double[processes.length];
+        for (Process p : processes) {
+            p.rate = 1 + clocksApart * (chance.nextDouble() - 0.5);
+        }
+    }
+
+    /** What a process needs from now on. */
+    public void needs(int i, double demand) {
+        demands[i] = demand;
+        if (processes[i].holdings != null) {
+            processes[i].holdings.needs(demand);
+            processes[i].sharing.say(new Figures(Map.of(Ground.DEMAND, Ground.figure(demand))));
+        }
+    }
+
+    /** What a process may use at this moment; nothing while it stands still. */
+    public long usable(int i) {
+        Process p = processes[i];
+        return p.alive && p.holdings != null && !stands(i) ? p.holdings.usable(moment(i)) : 0;
+    }
+
+    /** The most that all together might use at any moment, when, and whether there ever were two lines of views at once. */
+    public record Most(long amount, double atS, boolean twoLines) {
+    }
+
+    public Most most() {
+        return most;
+    }
+
+    /**
+     * How much of the whole is held by other than those who need it: half of all differences between the part of each and what its need
+     * asks for among those alive.
+     */
+    public double missed() {
+        double sum = 0;
+        int alive = 0;
+        for (int i = 0; i < processes.length; i++) {
+            sum += processes[i].alive ? demands[i] : 0;
+            alive += processes[i].alive ? 1 : 0;
+        }
+        double missed = 0;
+        long settled = divided.whole() - divided.alonePart() * divided.processes();
+        for (int i = 0; i < processes.length && sum > 0; i++) {
+            if (processes[i].alive) {
+                double even = (double) settled / alive;
+                double due = divided.alonePart() + divided.floor() * even + (1 - divided.floor()) * settled * demands[i] / sum;
+                missed += Math.abs(usable(i) - due);
+            }
+        }
+        return missed / 2 / divided.whole();
+    }
+
+    private void weigh() {
+        long all = 0;
+        long line = 0;
+        boolean two = most.twoLines;
+        for (int i = 0; i < processes.length; i++) {
+            all += usable(i);
+            View view = processes[i].alive ? processes[i].membership.view() : null;
+            two |= view != null && line != 0 && line != view.id().line();
+            line = view == null ? line : view.id().line();
+        }
+        boolean more = all > most.amount && !two;
+        most = new Most(more ? all : most.amount, more ? now : most.atS, two);
+    }
+
     // ---- the agreed document
 
     /** From the next start of each process on, all agree on a document; clocks run up to this part apart. */
     public void agrees(Agreement.Terms terms, double clocksApart) {
         agreed = terms;
+        leases = new Lease.Terms(terms.contradiction(), terms.clockRates());
         for (Process p : processes) {
             p.rate = 1 + clocksApart * (chance.nextDouble() - 0.5);
         }
@@ -474,7 +578,8 @@
             return "it is not there";
         }
         String why = processes[i].agreement.propose(content, expect, moment(i));
-        agrees(i, processes[i].agreement.follow(moment(i)));
+        processes[i].ground.follow(moment(i));
+        wakes(i);
         return why;
     }
 
@@ -487,23 +592,6 @@
         return acted;
     }
 
-    private void agrees(int i, List<Doing> doings) {
-        Process p = processes[i];
-        List<Act> acts = new ArrayList<>();
-        for (Doing doing : doings) {
-            if (doing instanceof Doing.Tell tell) {
-                tell(i, tell.to(), tell.word());
-            } else if (doing instanceof Doing.Of of) {
-                acts.add(of.act());
-            } else if (doing instanceof Doing.Acts on) {
-                acts(i, on.on());
-            } else if (doing instanceof Doing.Noted noted) {
-                notes.merge(noted.event().label(), 1, Integer::sum);
-            }
-        }
-        carryOut(i, acts);
-    }
-
     private void acts(int i, Acting on) {
         long line = processes[i].membership.view() == null ? 0 : processes[i].membership.view().id().line();
         boolean back = on == null || on.mode() == Acting.Mode.BACK;
--- a/src/main/java/cobaltseam/hall/MessageCodec.java
+++ b/src/main/java/cobaltseam/hall/MessageCodec.java
@@ -12,11 +12,15 @@
 
 import cobaltseam.agreement.Word;
 import cobaltseam.membership.Birth;
+import cobaltseam.membership.LeaseWord;
 import cobaltseam.membership.MemberName;
 import cobaltseam.membership.Message;
 import cobaltseam.membership.Spoken;
 import cobaltseam.seal.Seal;
 import cobaltseam.seal.SealKeys;
+import cobaltseam.sharing.Shared;
+import cobaltseam.spread.LoanWord;
+import cobaltseam.spread.ReportWord;
 import cobaltseam.vrrp.Addresses;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
@@ -24,6 +28,7 @@
 import com.fasterxml.jackson.databind.DeserializationContext;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.KeyDeserializer;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.SerializerProvider;
 import com.fasterxml.jackson.databind.deser.std.StdDeserializer;
@@ -44,8 +49,10 @@
     private static final Map<String, Class<? extends Spoken>> KINDS = Stream.<Class<? extends Spoken>>of(Message.Probe.class, Message.Relay.class,
             Message.Answer.class, Message.Ask.class, Message.Part.class, Message.NameTaken.class, Message.Found.class,
             Message.Consent.class, Message.Prepare.class, Message.Promise.class, Message.Refuse.class, Message.Accept.class,
-            Message.Accepted.class, Message.Decided.class, Message.AskView.class, Message.ViewPart.class, Word.Renew.class,
-            Word.Granted.class, Word.Offer.class, Word.Checked.class, Word.Want.class, Word.Piece.class)
+            Message.Accepted.class, Message.Decided.class, Message.AskView.class, Message.ViewPart.class, LeaseWord.Renew.class,
+            LeaseWord.Granted.class, Word.Offer.class, Word.Checked.class, Word.Want.class, Word.Piece.class,
+            Shared.ShareAsk.class, Shared.ShareNewer.class, LoanWord.Borrow.class, LoanWord.Lent.class,
+            ReportWord.AskReports.class, ReportWord.Table.class)
             .collect(Collectors.toMap(Class::getSimpleName, Function.identity()));
 
     /** Why bytes are not taken for a message that counts. */
@@ -87,6 +94,12 @@
     /** Names, births and addresses as one item each. */
     private static SimpleModule plain() {
         SimpleModule module = new SimpleModule();
+        module.addKeyDeserializer(MemberName.class, new KeyDeserializer() {
+            @Override
+            public Object deserializeKey(String key, DeserializationContext context) {
+                return new MemberName(key);
+            }
+        });
         add(module, MemberName.class, MemberName::value, MemberName::new);
         add(module, InetSocketAddress.class, MessageCodec::text, MessageCodec::address);
         module.addSerializer(Birth.class, new StdSerializer<>(Birth.class) {
--- a/src/main/java/cobaltseam/service/Agreed.java
+++ b/src/main/java/cobaltseam/service/Agreed.java
@@ -7,14 +7,13 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 
 import cobaltseam.agreement.Acting;
 import cobaltseam.agreement.Agreement;
 import cobaltseam.agreement.Caution;
 import cobaltseam.agreement.Doing;
-import cobaltseam.agreement.Word;
 import cobaltseam.deployment.BadInput;
 import cobaltseam.deployment.DeploymentReader;
 import cobaltseam.deployment.Fields;
@@ -22,6 +21,7 @@
 import cobaltseam.dispatch.Moment;
 import cobaltseam.log.Field;
 import cobaltseam.membership.Edition;
+import cobaltseam.membership.Lease;
 import cobaltseam.membership.Membership;
 import cobaltseam.service.Counters.Count;
 import cobaltseam.setup.Setup;
@@ -44,22 +44,21 @@
 
     private final Agreement agreement;
     private final Counters counters;
-    private final Consumer<Deployment> move;
     private final int position;
     /** By hash; bounded, as the agreement holds but few documents. */
     private final Map<String, Deployment> read = new HashMap<>();
-    private Deployment own, acts;
+    private Deployment own, acts, back;
     private String last = "none";
 
-    /** @param move what moves the module to other settings */
-    Agreed(Setup.Agreed told, Membership membership, Deployment own, Consumer<Deployment> move, Counters counters,
-           java.util.random.RandomGenerator chance) {
+    Agreed(Setup.Agreed told, Membership membership, Lease lease, Deployment own, Counters counters, RandomGenerator chance) {
         this.counters = counters;
-        this.move = move;
         this.own = own;
-        acts = own;
+        // Nothing is agreed here yet: what the fleet acts on may differ from this dispatcher's own file.
+        back = Caution.alone(own);
+        acts = back;
         position = own.number();
-        agreement = new Agreement(new Agreement.Terms(told.contradiction(), CLOCKS, LARGEST), membership, new Agreement.Documents() {
+        agreement = new Agreement(new Agreement.Terms(told.contradiction(), CLOCKS, LARGEST), membership, lease,
+                new Agreement.Documents() {
             @Override
             public String check(byte[] content) {
                 try {
@@ -133,21 +132,19 @@
         }
     }
 
-    List<Doing> heard(Word word, Moment now) {
-        return agreement.heard(word, now);
+    Agreement agreement() {
+        return agreement;
     }
 
-    List<Doing> follow(Moment now) {
-        return agreement.follow(now);
+    /** Until when the module may act on {@link #acts} if nothing more is heard; null if it may not. */
+    Moment until(Moment now) {
+        boolean may = agreement.acting().mode() != Acting.Mode.BACK && agreement.leaseLeft(now).isPositive();
+        return may ? now.plus(agreement.leaseLeft(now)) : null;
     }
 
-    Moment wake(Moment now) {
-        return agreement.wake(now);
-    }
-
-    /** Whether a lease has ended under which this dispatcher acts: to be asked before anything is taken or sent. */
-    boolean isOver(Moment now) {
-        return agreement.acting().mode() != Acting.Mode.BACK && !agreement.leaseLeft(now).isPositive();
+    /** What the module acts on once that time has passed. */
+    Deployment back() {
+        return back;
     }
 
     /** What the module acts on. */
@@ -160,19 +157,15 @@
     void on(Acting on) {
         Edition newest = on.newest();
         Deployment then = newest == null ? own : deployment(agreement.content(newest));
-        if (on.mode() == Acting.Mode.BACK) {
-            then = Caution.alone(then);
-        }
+        back = Caution.alone(then);
+        then = on.mode() == Acting.Mode.BACK ? back : then;
         for (int i = on.editions().size() - 2; i >= 0; i--) {
             then = Caution.between(deployment(agreement.content(on.editions().get(i))), then);
         }
+        acts = then;
         counters.add(on.mode() == Acting.Mode.BACK ? Count.AGREEMENT_STEPPED_BACK : Count.AGREEMENT_MOVES);
         LOG.log(Level.INFO, "acts {0} on editions {1}", Field.of("mode", on.mode().label()), Field.of("editions", on.editions().stream()
                 .map(e -> e.number() + ":" + e.hash()).collect(Collectors.joining(" "))), Field.event("agreement.acts"));
-        if (!then.equals(acts)) {
-            acts = then;
-            move.accept(then);
-        }
     }
 
     void noted(Doing.Noted noted) {
--- a/src/main/java/cobaltseam/service/Clock.java
+++ b/src/main/java/cobaltseam/service/Clock.java
@@ -13,6 +13,11 @@
     private final long startNanos = System.nanoTime();
 
     Moment now() {
-        return new Moment(startUs + (System.nanoTime() - startNanos) / NANOS_PER_MICRO);
+        return new Moment(us());
+    }
+
+    /** The same as a number, for a path that allocates nothing. */
+    long us() {
+        return startUs + (System.nanoTime() - startNanos) / NANOS_PER_MICRO;
     }
 }
--- a/src/main/java/cobaltseam/service/Commands.java
+++ b/src/main/java/cobaltseam/service/Commands.java
@@ -13,6 +13,7 @@
 import cobaltseam.dispatch.DataSetId;
 import cobaltseam.dispatch.Deployment;
 import cobaltseam.dispatch.Dispatcher;
+import cobaltseam.dispatch.EngineId;
 import cobaltseam.dispatch.Moment;
 import cobaltseam.dispatch.Outcome;
 import cobaltseam.dispatch.Outcome.Ending;
@@ -64,6 +65,8 @@
     private Deadlines.Deadline wake;
     /** Whether this dispatcher may send at this moment; by default always. */
     private BooleanSupplier maySend = () -> true;
+    /** Hears what engines tell of the commands that they hold; null where nobody does. */
+    private FleetDoor reports;
     /** Whether the module was told something and not yet asked what follows. */
     private boolean news;
 
@@ -112,6 +115,22 @@
         news = true;
     }
 
+    /** The work of all commands taken so far, in microseconds of one thread. */
+    double offered() {
+        return dispatcher.offered();
+    }
+
+    /** Has the fleet hear what engines tell of the commands that they hold. */
+    void reportsTo(FleetDoor door) {
+        reports = door;
+    }
+
+    /** What an engine told another dispatcher of the commands that it holds, at this moment or later. */
+    void reported(EngineId engine, double inHand, Moment at) {
+        dispatcher.reported(engine, inHand, at);
+        news = true;
+    }
+
     /** Sends nothing more for a command: held, it is given up at once; out, its answer still counts. */
     void withdraw(long key) {
         InHand c = slots.get(key);
@@ -218,6 +237,9 @@
             return;
         }
         c.out = null;
+        if (reports != null && send.inHand >= 0) {
+            reports.heard(send.engine, Math.max(0, send.inHand - Math.max(0, send.queue)), now);
+        }
         Asker answered = ending == Ending.ANSWERED ? c.asker : null;
         c.asker = ending == Ending.ANSWERED ? null : c.asker;
         boolean over = c.asker == null;
--- a/src/main/java/cobaltseam/service/Counters.java
+++ b/src/main/java/cobaltseam/service/Counters.java
@@ -1,10 +1,9 @@
 package cobaltseam.service;
 
-import java.util.EnumMap;
 import java.util.Locale;
-import java.util.Map;
+import java.util.concurrent.atomic.AtomicLongArray;
 
-/** Counts what the service takes in, sends and answers. */
+/** Counts what the service takes in, sends and answers; from any thread. */
 final class Counters {
     /** What is counted, under the name that is printed. */
     enum Count {
@@ -17,7 +16,7 @@
         MASTERSHIP_TAKEN, MASTERSHIP_LEFT, MASTERSHIP_FENCED, MASTERSHIP_ADVERTS_SENT, MASTERSHIP_ADVERTS_UNSENT,
         MASTERSHIP_ADVERTS_TAKEN, MASTERSHIP_ADVERTS_REFUSED, MASTERSHIP_BINDS_FAILED, MASTERSHIP_TURNED_AWAY,
         MASTERSHIP_COMMANDS_WITHDRAWN,
-        MEMBERSHIP_DATAGRAMS_SENT, MEMBERSHIP_DATAGRAMS_UNSENT, MEMBERSHIP_DATAGRAMS_TAKEN, MEMBERSHIP_DATAGRAMS_REFUSED,
+        MEMBERSHIP_DATAGRAMS_SENT, MEMBERSHIP_BYTES_SENT, MEMBERSHIP_DATAGRAMS_UNSENT, MEMBERSHIP_DATAGRAMS_TAKEN, MEMBERSHIP_DATAGRAMS_REFUSED,
         MEMBERSHIP_DATAGRAMS_DROPPED, MEMBERSHIP_VIEWS, MEMBERSHIP_SUSPECTED, MEMBERSHIP_STOOD_STILL, MEMBERSHIP_NOTED,
         MEMBERSHIP_KEPT, AGREEMENT_MOVES, AGREEMENT_STEPPED_BACK;
 
@@ -26,18 +25,18 @@
         }
     }
 
-    private final Map<Count, Long> counts = new EnumMap<>(Count.class);
+    private final AtomicLongArray counts = new AtomicLongArray(Count.values().length);
 
     void add(Count what) {
-        counts.merge(what, 1L, Long::sum);
+        counts.getAndIncrement(what.ordinal());
     }
 
     void add(Count what, long times) {
-        counts.merge(what, times, Long::sum);
+        counts.getAndAdd(what.ordinal(), times);
     }
 
     long of(Count what) {
-        return counts.getOrDefault(what, 0L);
+        return counts.get(what.ordinal());
     }
 
     @Override
--- a/src/main/java/cobaltseam/service/Members.java
+++ b/src/main/java/cobaltseam/service/Members.java
@@ -1,23 +1,24 @@
 package cobaltseam.service;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
-import cobaltseam.agreement.Acting;
 import cobaltseam.agreement.Doing;
-import cobaltseam.agreement.Word;
 import cobaltseam.dispatch.Deployment;
 import cobaltseam.dispatch.Moment;
 import cobaltseam.dispatch.Span;
+import cobaltseam.ground.Ground;
 import cobaltseam.hall.KeptCodec;
 import cobaltseam.hall.MessageCodec;
 import cobaltseam.hall.MessageCodec.Refusal;
@@ -26,10 +27,10 @@
 import cobaltseam.membership.Act;
 import cobaltseam.membership.Birth;
 import cobaltseam.membership.Kept;
+import cobaltseam.membership.Lease;
 import cobaltseam.membership.Member;
 import cobaltseam.membership.MemberName;
 import cobaltseam.membership.Membership;
-import cobaltseam.membership.Message;
 import cobaltseam.membership.Spoken;
 import cobaltseam.membership.Standing;
 import cobaltseam.membership.Terms;
@@ -37,63 +38,89 @@
 import cobaltseam.membership.ViewId;
 import cobaltseam.service.Counters.Count;
 import cobaltseam.setup.Setup;
+import cobaltseam.sharing.Figures;
+import cobaltseam.sharing.Sharing;
+import cobaltseam.spread.Demand;
+import cobaltseam.spread.Holdings;
+import cobaltseam.spread.Reports;
 import cobaltseam.store.WholeFile;
 import cobaltseam.store.Writer;
 
 /**
- * This dispatcher among those of its fleet: carries messages between the socket and {@link Membership}, and tells the module over
- * how many dispatchers the engines are shared. A fault of it ends it and nothing else: the service goes on as one without
- * it, by the number of dispatchers that its settings name.
+ * This dispatcher among those of its fleet, on a thread of its own: the one room for members' messages. It carries them between the
+ * socket and {@link Ground}, which hands each to the module it is for, and publishes what follows for the module of commands through
+ * {@link FleetDoor}. A fault of it ends it and nothing else: the service goes on as one without it.
  */
 final class Members {
     private static final System.Logger LOG = System.getLogger(Members.class.getName());
     private static final int US_PER_MS = 1000;
+    private static final double SECOND_US = 1e6;
+    private static final Span LONGEST_WAIT = new Span(1_000_000);
+    private static final int MOST_AT_ONCE = 1024;
+    /** What SHOW tells is no older than this. */
+    private static final Span SHOWN_EVERY = new Span(100_000);
+    /** By which part the rates of two clocks differ at most. */
+    private static final double CLOCKS = 0.001;
+
+    private record Tell(InetSocketAddress to, Spoken message) {
+    }
 
     private final Setup.Fleet told;
+    private final Setup.Spread spread;
     /** The view that an operator had this dispatcher found another line for, or null. */
     private String foundedAnew;
-    private final int dispatchersTold;
     private final Clients clients;
-    private final Commands commands;
-    /** Whether mastership tells the module how many dispatchers share the engines; membership then does not. */
+    private final FleetDoor door;
     private final boolean masteredElsewhere;
     private final Inbox inbox;
     private final Clock clock;
-    private final Deadlines deadlines;
+    private final Deadlines deadlines = new Deadlines();
     private final Counters counters;
     private final BoundedLog log;
     private final MessageCodec codec;
     private final PeerSocket socket;
     private final Membership membership;
+    private final Lease lease;
+    private final Agreed agreed;
+    private final Sharing sharing;
+    private final Holdings holdings;
+    private final Demand demand;
+    /** What engines told; null where members do not tell each other. */
+    private final Reports reports;
+    private final Ground ground;
+    /** Datagrams to send once what follows from them here is published. */
+    private final List<Tell> tells = new ArrayList<>();
     private final Map<Refusal, Long> refused = new EnumMap<>(Refusal.class);
-    private Deadlines.Deadline wake, falls;
-    private Moment dueAt;
+    private final Map<String, Supplier<List<String[]>>> rows = new HashMap<>();
+    private final AtomicReference<Map<String, List<String[]>>> shown = new AtomicReference<>(Map.of());
+    private Deadlines.Deadline wake, falls, shows;
+    private Moment dueAt, saidAt;
     private Standing standing = Standing.NONE;
-    private int sharedOver;
-    private boolean broken, open;
+    private FleetWord word = FleetWord.NONE;
+    /** Set once, by its own thread. */
+    private volatile boolean broken;
+    private volatile boolean closed;
+    private boolean open;
     /** What the lasting folder held at the start, or null. */
     private final Kept former;
     /** Writes the lasting folder; null where there is none, and then why. */
     private final Writer writer;
-    /** The agreed settings, where they are on; else null. */
-    private Agreed agreed;
     private String folderState = "";
 
-    Members(Setup.Fleet told, Installation installation, Commands commands, Clients clients, boolean masteredElsewhere, Inbox inbox,
-            Clock clock, Deadlines deadlines, Counters counters) {
-        this.told = told;
-        this.commands = commands;
+    /** @param setup with membership on */
+    Members(Setup setup, Installation installation, byte[] document, FleetDoor door, Clients clients, boolean masteredElsewhere, Clock clock,
+            Counters counters) {
+        told = setup.fleet();
+        spread = setup.spread();
+        this.door = door;
         this.clients = clients;
         this.masteredElsewhere = masteredElsewhere;
-        this.inbox = inbox;
         this.clock = clock;
-        this.deadlines = deadlines;
         this.counters = counters;
+        inbox = new Inbox(counters);
         log = new BoundedLog(LOG, clock);
-        dispatchersTold = installation.deployment().dispatchers();
-        sharedOver = dispatchersTold;
-        Span longest = installation.deployment().profiles().stream().map(Deployment.Profile::clientTimeout)
-                .max(Span::compareTo).orElse(Span.ZERO);
+        Deployment own = installation.deployment();
+        Span longest = own.profiles().stream().map(Deployment.Profile::clientTimeout).max(Span::compareTo).orElse(Span.ZERO);
         codec = new MessageCodec(told.fleet(), told.sealing() == null ? null : told.sealing().keys(),
                 told.sealing() == null ? 0 : told.sealing().writeKey());
         socket = new PeerSocket(told.listen(), this::came);
@@ -106,8 +133,48 @@
         WholeFile file = folder();
         former = file == null ? null : former(file);
         writer = folderState.isEmpty() ? new Writer(file, this::stored, this::notStored) : null;
-        membership = writer == null ? new Membership(terms, self, chance) : Membership.lasting(terms, self, former, chance);
-        clients.shows("members", this::rows);
+        membership = writer == null ? new Membership(terms, self, chance.split()) : Membership.lasting(terms, self, former, chance.split());
+        Span lasts = setup.agreed() != null ? setup.agreed().contradiction() : divides() ? spread.lease() : null;
+        lease = lasts == null ? null : new Lease(new Lease.Terms(lasts, CLOCKS), membership, chance.split());
+        agreed = setup.agreed() == null ? null : agreed(setup.agreed(), own, document, chance.split());
+        sharing = !divides() ? null : new Sharing(self.name(), membership.self().birth(), spread.sharing(MessageCodec.LARGEST / 2, CLOCKS), chance.split(),
+                clock.now());
+        ground = new Ground(membership, lease, agreed == null ? null : agreed.agreement(), sharing, new Does());
+        holdings = !divides() ? null : new Holdings(spread.terms(own.dispatchers()), ground.under(), chance.split());
+        demand = !divides() ? null : new Demand(spread.window());
+        reports = spread == null || !spread.news().isPositive() ? null : new Reports(spread.reports(CLOCKS), chance.split(), clock.now());
+        if (reports != null) {
+            ground.hears(reports);
+            door.hears();
+        }
+        if (holdings != null) {
+            ground.holds(holdings);
+        }
+        if (spread != null) {
+            shows("spread", this::spreadRows);
+        }
+        shows("members", this::rows);
+    }
+
+    /** Whether parts of the engines follow demand. */
+    private boolean divides() {
+        return spread != null && spread.byDemand();
+    }
+
+    private Agreed agreed(Setup.Agreed with, Deployment own, byte[] document, SplittableRandom chance) {
+        Agreed a = new Agreed(with, membership, lease, own, counters, chance);
+        a.own(document);
+        if (former != null) {
+            a.knows(former.documents());
+        }
+        shows("agreement", () -> a.rows(clock.now()));
+        return a;
+    }
+
+    /** SHOW cobaltseam.NAME tells these rows, as they were no longer ago than {@link #SHOWN_EVERY}. */
+    private void shows(String name, Supplier<List<String[]>> of) {
+        rows.put(name, of);
+        clients.shows(name, () -> shown.getAcquire().getOrDefault(name, List.of()));
     }
 
     // ---- the lasting folder
@@ -144,11 +211,11 @@
     }
 
     private void stored(long number) {
-        inbox.post(null, () -> act(() -> membership.kept(number)));
+        inbox.post(null, () -> act(() -> ground.kept(number, clock.now())));
     }
 
     private void notStored(String why) {
-        inbox.post(null, () -> act(() -> membership.notKept(why, clock.now())));
+        inbox.post(null, () -> act(() -> ground.notKept(why, clock.now())));
     }
 
     private void withoutFolder(String why) {
@@ -165,15 +232,45 @@
         LOG.log(Level.INFO, "member {0}, birth {1}, of fleet {2} on {3}", Field.of("member", membership.self().name()),
                 Field.of("birth", membership.self().birth()), Field.of("fleet", told.fleet()), Field.of("address", told.advertise()),
                 Field.event("membership.opened"));
-        act(() -> membership.start(clock.now()));
+        if (agreed != null) {
+            LOG.log(Level.INFO, "nothing is agreed here yet: the own settings are read cautiously", Field.event("agreement.starts_back"));
+        }
+        publish();
+        inbox.post(null, () -> act(() -> ground.start(clock.now())));
+        Thread thread = new Thread(this::run, "fleet");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void run() {
+        try {
+            while (!closed) {
+                Runnable task = inbox.next(deadlines.untilNext(clock.now(), LONGEST_WAIT));
+                for (int heard = 1; task != null; task = heard++ < MOST_AT_ONCE ? inbox.next(Span.ZERO) : null) {
+                    look();
+                    task.run();
+                }
+                look();
+                for (Runnable due = deadlines.due(clock.now()); due != null; due = deadlines.due(clock.now())) {
+                    try {
+                        due.run();
+                    } catch (RuntimeException e) {
+                        fault(e);
+                    }
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     /** Tells the others that it leaves, so that no suspicion follows. */
     void leave() {
-        act(() -> membership.leave(clock.now()));
+        inbox.post(null, () -> act(() -> ground.leave(clock.now())));
     }
 
     void close() {
+        closed = true;
         if (open) {
             socket.close();
         }
@@ -182,10 +279,6 @@
         }
     }
 
-    Membership membership() {
-        return membership;
-    }
-
     /** Whether a fault has ended it. */
     boolean isEnded() {
         return broken;
@@ -193,20 +286,24 @@
 
     /** Proposes settings to the fleet. */
     void propose(byte[] document) {
-        act(() -> {
+        inbox.post(null, () -> act(() -> {
             agreed.propose(document, clock.now());
-            return List.of();
-        });
+            ground.follow(clock.now());
+        }));
     }
 
     /** What the own file says now: an operator's founding is heeded, all else waits for the next start. */
     void renewed(Setup.Fleet now) {
+        inbox.post(null, () -> renewedHere(now));
+    }
+
+    private void renewedHere(Setup.Fleet now) {
         boolean anew = now.foundAnew() != null && !now.foundAnew().equals(foundedAnew);
         if (!now.fixed().equals(told.fixed())) {
             LOG.log(Level.WARNING, "of [membership] only found_anew is read before the next start", Field.event("configuration.partly"));
         }
         if (anew) {
-            act(() -> membership.foundAnew(ViewId.read(now.foundAnew()), clock.now()));
+            act(() -> ground.foundAnew(ViewId.read(now.foundAnew()), clock.now()));
             // What was refused may be said again in the same words.
             boolean founded = membership.view() != null && membership.view().id().line() == membership.self().birth().value();
             foundedAnew = founded ? now.foundAnew() : null;
@@ -234,44 +331,11 @@
             return;
         }
         counters.add(Count.MEMBERSHIP_DATAGRAMS_TAKEN);
-        if (reading.message() instanceof Message message) {
-            act(() -> membership.heard(message, clock.now()));
-        } else if (reading.message() instanceof Word word && agreed != null) {
-            act(() -> {
-                agree(agreed.heard(word, clock.now()));
-                return List.of();
-            });
-        }
+        act(() -> ground.heard(reading.message(), clock.now()));
     }
 
-    /** Has the fleet agree on the settings of decisions, from the start on. */
-    void agrees(Agreed on) {
-        agreed = on;
-        if (former != null) {
-            agreed.knows(former.documents());
-        }
-        clients.shows("agreement", () -> agreed.rows(clock.now()));
-    }
-
-    private void agree(List<Doing> doings) {
-        for (Doing doing : doings) {
-            if (doing instanceof Doing.Tell tell) {
-                tell(tell.to(), tell.word());
-            } else if (doing instanceof Doing.Of of) {
-                carryOut(of.act());
-            } else if (doing instanceof Doing.Acts acts) {
-                agreed.on(acts.on());
-            } else if (doing instanceof Doing.Noted noted) {
-                agreed.noted(noted);
-            }
-        }
-    }
-
-    /** Before anything else is heard: whether this process stood still, for then its view may be an old one, and its lease over. */
-    void look() {
-        if (!broken && agreed != null && agreed.isOver(clock.now())) {
-            act(List::of);
-        }
+    /** Before anything else is heard: whether this process stood still, for then its view may be an old one. */
+    private void look() {
         if (!broken && dueAt != null && clock.now().since(dueAt).compareTo(told.period().times(0.5)) > 0) {
             due();
         }
@@ -279,72 +343,112 @@
 
     private void due() {
         counters.add(Count.MEMBERSHIP_DATAGRAMS_DROPPED, socket.tooMany());
-        act(() -> membership.due(clock.now()));
+        act(() -> ground.due(clock.now()));
     }
 
     // ---- what follows
 
-    /** Asks membership, and does what it says; a fault of it ends membership and nothing else. */
-    private void act(Supplier<List<Act>> asked) {
+    /** Asks what follows, and publishes it; a fault ends all of this and nothing else. */
+    private void act(Runnable asked) {
         if (broken) {
             return;
         }
         try {
-            asked.get().forEach(this::carryOut);
-            Moment now = clock.now();
-            if (agreed != null) {
-                agree(agreed.follow(now));
+            needs();
+            if (reports != null) {
+                door.toldHere().forEach(reports::told);
             }
-            deadlines.cancel(wake);
-            dueAt = membership.wake(now);
-            if (agreed != null && dueAt != null) {
-                Moment other = agreed.wake(now);
-                dueAt = other.before(dueAt) ? other : dueAt;
+            asked.run();
+            if (reports != null) {
+                List<Reports.Report> news = reports.news();
+                if (!news.isEmpty()) {
+                    door.toldElsewhere(news);
+                }
             }
+            Moment now = clock.now();
+            deadlines.cancel(wake);
+            dueAt = ground.wake(now);
             wake = dueAt == null ? null : deadlines.set(dueAt, this::due);
             stands();
-            shared(now);
+            deadlines.cancel(falls);
+            Moment at = membership.carriersFallAt();
+            falls = at == null ? null : deadlines.set(at, () -> act(() -> { }));
+            // Whoever is told of a loan may use it at once: by then this process must not.
+            publish();
+            tells.forEach(this::send);
+            tells.clear();
+            if (shows == null) {
+                shows = deadlines.set(now.plus(SHOWN_EVERY), this::tellRows);
+            }
         } catch (RuntimeException e) {
             fault(e);
         }
     }
 
-    private void carryOut(Act act) {
-        if (act instanceof Act.Tell tell) {
-            tell(tell.to(), tell.message());
-        } else if (act instanceof Act.Keep keep) {
-            counters.add(Count.MEMBERSHIP_KEPT);
-            writer.give(keep.number(), () -> KeptCodec.write(keep.what()));
-        } else if (act instanceof Act.Installed installed) {
-            counters.add(Count.MEMBERSHIP_VIEWS);
-            View view = installed.view();
-            LOG.log(Level.INFO, "view {0} with {1} members: {2}", Field.of("view", view == null ? "none" : view.id()),
-                    Field.of("count", view == null ? 0 : view.members().size()),
-                    Field.of("members", view == null ? "" : view.members().stream().map(m -> m.name() + "#" + m.birth())
-                            .collect(Collectors.joining(" "))),
-                    Field.of("birth", membership.self().birth()), Field.event("membership.view"));
-        } else if (act instanceof Act.Noted noted) {
-            counters.add(switch (noted.event()) {
-                case SUSPECTED -> Count.MEMBERSHIP_SUSPECTED;
-                case STOOD_STILL -> Count.MEMBERSHIP_STOOD_STILL;
-                default -> Count.MEMBERSHIP_NOTED;
-            });
-            log.warn("{0}: {1}, {2}", Field.of("member", noted.who()), Field.of("what", noted.event().label()),
-                    Field.of("detail", noted.detail()), Field.event("membership." + noted.event().label()));
+    /** Says what this dispatcher needs, once a round of sharing. */
+    private void needs() {
+        Moment now = clock.now();
+        if (divides() && (saidAt == null || now.since(saidAt).compareTo(spread.round()) >= 0)) {
+            saidAt = now;
+            double rate = demand.told(door.offered(), now);
+            holdings.needs(rate);
+            sharing.say(new Figures(Map.of(Ground.DEMAND, Ground.figure(rate))));
         }
     }
 
-    private void tell(InetSocketAddress to, Spoken message) {
-        byte[] bytes = codec.write(message);
+    /** Does what is decided. */
+    private final class Does implements Ground.Out {
+        @Override
+        public void tell(InetSocketAddress to, Spoken message) {
+            tells.add(new Tell(to, message));
+        }
+
+        @Override
+        public void act(Act act) {
+            if (act instanceof Act.Keep keep) {
+                counters.add(Count.MEMBERSHIP_KEPT);
+                writer.give(keep.number(), () -> KeptCodec.write(keep.what()));
+            } else if (act instanceof Act.Installed installed) {
+                counters.add(Count.MEMBERSHIP_VIEWS);
+                View view = installed.view();
+                LOG.log(Level.INFO, "view {0} with {1} members: {2}", Field.of("view", view == null ? "none" : view.id()),
+                        Field.of("count", view == null ? 0 : view.members().size()),
+                        Field.of("members", view == null ? "" : view.members().stream().map(m -> m.name() + "#" + m.birth())
+                                .collect(Collectors.joining(" "))),
+                        Field.of("birth", membership.self().birth()), Field.event("membership.view"));
+            } else if (act instanceof Act.Noted noted) {
+                counters.add(switch (noted.event()) {
+                    case SUSPECTED -> Count.MEMBERSHIP_SUSPECTED;
+                    case STOOD_STILL -> Count.MEMBERSHIP_STOOD_STILL;
+                    default -> Count.MEMBERSHIP_NOTED;
+                });
+                log.warn("{0}: {1}, {2}", Field.of("member", noted.who()), Field.of("what", noted.event().label()),
+                        Field.of("detail", noted.detail()), Field.event("membership." + noted.event().label()));
+            }
+        }
+
+        @Override
+        public void doing(Doing doing) {
+            if (doing instanceof Doing.Acts acts) {
+                agreed.on(acts.on());
+            } else if (doing instanceof Doing.Noted noted) {
+                agreed.noted(noted);
+            }
+        }
+    }
+
+    private void send(Tell tell) {
+        byte[] bytes = codec.write(tell.message);
         try {
             if (bytes == null) {
                 throw new IOException("longer than " + MessageCodec.LARGEST + " bytes");
             }
-            socket.send(bytes, to);
+            socket.send(bytes, tell.to);
             counters.add(Count.MEMBERSHIP_DATAGRAMS_SENT);
+            counters.add(Count.MEMBERSHIP_BYTES_SENT, bytes.length);
         } catch (IOException | RuntimeException e) {
             counters.add(Count.MEMBERSHIP_DATAGRAMS_UNSENT);
-            log.warn("no datagram to {0}: {1}", Field.of("peer", to), Field.of("reason", e.getMessage()),
+            log.warn("no datagram to {0}: {1}", Field.of("peer", tell.to), Field.of("reason", e.getMessage()),
                     Field.event("membership.unsent"));
         }
     }
@@ -357,39 +461,84 @@
         }
     }
 
-    /** Tells the module over how many dispatchers engines are shared; without a view, over as many as the settings name. */
-    private void shared(Moment now) {
-        int over = membership.carriers(now);
-        over = over == 0 ? dispatchersTold : over;
-        if (over != sharedOver) {
-            sharedOver = over;
-            if (!masteredElsewhere) {
-                commands.sharedOver(over);
+    /** Publishes what the module of commands is to go by, where that has changed. */
+    private void publish() {
+        Moment now = clock.now();
+        int carriers = membership.carriers(now);
+        Moment until = agreed == null ? null : agreed.until(now);
+        FleetWord then = agreed == null ? new FleetWord(carriers, null, null, Long.MAX_VALUE, null, null)
+                : new FleetWord(carriers, agreed.acts(), agreed.back(), until == null ? 0 : until.us(), null, null);
+        if (holdings != null) {
+            then = then.with(holdings.steps(now), spread.whole());
+        }
+        if (!then.isLike(word)) {
+            word = then;
+            door.publish(then);
+            if (divides() && spread.audit()) {
+                LOG.log(Level.INFO, "holds these parts of the engines, each until: {0}", Field.of("steps", then.stepsText()),
+                        Field.of("us", now.us()), Field.event("spread.parts"));
             }
         }
-        deadlines.cancel(falls);
-        Moment at = membership.carriersFallAt();
-        falls = at == null ? null : deadlines.set(at, () -> act(List::of));
     }
 
-    /** Ends membership for good; the service goes on as one that has none. */
+    /** Ends all of this for good; the service goes on as one that has none. */
     private void fault(RuntimeException e) {
+        if (broken) {
+            return;
+        }
         counters.add(Count.FAULTS);
         LOG.log(Level.ERROR, "a fault in membership, which ends here until the next start", e);
         broken = true;
-        if (agreed != null) {
-            agreed.on(new Acting(Acting.Mode.BACK, List.of()));
-        }
         deadlines.cancel(wake);
         deadlines.cancel(falls);
+        Deployment back = agreed == null ? null : agreed.back();
+        FleetWord last = new FleetWord(0, back, back, Long.MAX_VALUE, null, null);
+        door.publish(holdings == null ? last
+                : last.with(List.of(new Holdings.Step(null, spread.terms(door.dispatchers()).alonePart())), spread.whole()));
         close();
-        if (!masteredElsewhere && sharedOver != dispatchersTold) {
-            commands.sharedOver(dispatchersTold);
+        try {
+            tellRows();
+        } catch (RuntimeException again) {
+            LOG.log(Level.ERROR, "what is shown of membership is as it was before its fault", again);
         }
     }
 
     // ---- what is asked
 
+    private void tellRows() {
+        shows = null;
+        Map<String, List<String[]>> all = new HashMap<>();
+        rows.forEach((name, of) -> all.put(name, of.get()));
+        shown.setRelease(Map.copyOf(all));
+    }
+
+    /** SHOW cobaltseam.spread. */
+    private List<String[]> spreadRows() {
+        Moment now = clock.now();
+        List<String[]> told = new ArrayList<>();
+        if (!divides()) {
+            told.add(new String[] {"engines_reported", reports == null ? "not told" : Integer.toString(reports.size())});
+            return told;
+        }
+        told.add(new String[] {"usable", part(holdings.usable(now))});
+        told.add(new String[] {"alone", part(spread.terms(door.dispatchers()).alonePart())});
+        told.add(new String[] {"even", part(holdings.even(now))});
+        told.add(new String[] {"lent", part(holdings.lentOut(now))});
+        told.add(new String[] {"borrowed", part(holdings.borrowed(now))});
+        told.add(new String[] {"lease_left_ms", Long.toString(lease.left(now).us() / US_PER_MS)});
+        Sharing.Sum sum = sharing.sum(Ground.DEMAND, now);
+        told.add(new String[] {"demand_threads", String.format(Locale.ROOT, "%.3f of %.3f, %d members known, %d not",
+                Ground.demand(sharing.own(Ground.DEMAND)) / SECOND_US, Ground.demand(sum.sum()) / SECOND_US, sum.counted(), sum.unknown())});
+        if (reports != null) {
+            told.add(new String[] {"engines_reported", Integer.toString(reports.size())});
+        }
+        return told;
+    }
+
+    private String part(long amount) {
+        return String.format(Locale.ROOT, "%.6f", (double) amount / spread.whole());
+    }
+
     /** SHOW cobaltseam.members. */
     private List<String[]> rows() {
         Moment now = clock.now();
@@ -400,7 +549,7 @@
         rows.add(new String[] {"standing", membership.standing().label()});
         rows.add(new String[] {"view", view == null ? "none" : view.id() + ", " + view.members().size() + " members, since "
                 + ms(now, membership.viewSince()) + " ms"});
-        rows.add(new String[] {"engines_shared_over", Integer.toString(sharedOver) + (masteredElsewhere ? ", by mastership" : "")});
+        rows.add(new String[] {"engines_shared_over", shared() + (masteredElsewhere ? ", by mastership" : "")});
         rows.add(new String[] {"own_health", membership.health() + " (0 is well)"});
         rows.add(new String[] {"folder", told.folder() == null ? "none" : told.folder() + (membership.isLasting() ? "" : ", not used: "
                 + (folderState.isEmpty() ? "lost while it ran" : folderState))});
@@ -418,7 +567,12 @@
         return rows;
     }
 
+    private String shared() {
+        int over = membership.carriers(clock.now());
+        return broken || over == 0 ? Integer.toString(door.dispatchers()) : Integer.toString(over);
+    }
+
     private static long ms(Moment now, Moment then) {
-        return now.since(then).us() / US_PER_MS;
+        return then == null ? 0 : now.since(then).us() / US_PER_MS;
     }
 }
--- a/src/main/java/cobaltseam/service/Service.java
+++ b/src/main/java/cobaltseam/service/Service.java
@@ -46,8 +46,10 @@
     private Hall hall;
     /** What takes part in a fleet, where the own file has one; else null. */
     private Members members;
-    /** The settings that the fleet agrees on, where the own file says so; else null. */
-    private Agreed agreed;
+    /** Between the fleet's thread and this service's; null without a fleet. */
+    private FleetDoor door;
+    /** Whether the fleet agrees on the settings of decisions. */
+    private boolean agrees;
     private final Clock clock = new Clock();
     private final Deadlines deadlines = new Deadlines();
     private final Counters counters = new Counters();
@@ -99,10 +101,7 @@
             service.joins(setup.hall());
         }
         if (setup != null && setup.fleet() != null) {
-            service.joins(setup.fleet());
-        }
-        if (setup != null && setup.agreed() != null) {
-            service.agrees(setup.agreed(), Files.readAllBytes(Path.of(System.getenv("GW_CONFIG"))));
+            service.joinsFleet(setup, Files.readAllBytes(Path.of(System.getenv("GW_CONFIG"))));
         }
         service.readAnewOnHangUp(System.getenv());
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
@@ -188,7 +187,7 @@
         try {
             Installation anew = Installation.read(environment);
             Setup setup = own == null ? null : SetupReader.read(own);
-            byte[] document = agreed == null ? null : Agreed.document(Files.readAllBytes(Path.of(environment.get("GW_CONFIG"))));
+            byte[] document = !agrees ? null : Agreed.document(Files.readAllBytes(Path.of(environment.get("GW_CONFIG"))));
             inbox.post(null, () -> {
                 renewed(anew, document);
                 if (setup != null) {
@@ -203,16 +202,16 @@
     }
 
     private void renewed(Installation read, byte[] document) {
-        boolean agrees = document != null && !members.isEnded();
-        if (agrees) {
+        boolean asks = document != null && !members.isEnded();
+        if (asks) {
             // Not this file moves the module, but the fleet, once it has agreed on what the file says.
             members.propose(document);
         }
-        Installation anew = agrees ? read.with(agreed.acts()) : read;
+        Installation anew = asks && door.acts() != null ? read.with(door.acts()) : read;
         if (!anew.name().equals(told.name()) || !anew.listen().equals(told.listen())) {
             LOG.log(Level.WARNING, "name and address stay until the next start", Field.event("configuration.partly"));
         }
-        if (!agrees && !anew.deployment().equals(told.deployment())) {
+        if (!asks && !anew.deployment().equals(told.deployment())) {
             commands.moveTo(anew.deployment());
             LOG.log(Level.INFO, "other settings of decisions act from now on, with {0} commands in hand",
                     Field.of("inHand", commands.inHand()), Field.event("configuration.moved"));
@@ -259,16 +258,11 @@
         hall = new Hall(with, told, fitness, commands, clients, acceptor, inbox, clock, deadlines, counters);
     }
 
-    /** Agrees with its fleet on the settings of decisions, from the start on. */
-    void agrees(Setup.Agreed with, byte[] configuration) {
-        agreed = new Agreed(with, members.membership(), told.deployment(), commands::moveTo, counters, new SplittableRandom(told.seed() ^ System.nanoTime()));
-        agreed.own(Agreed.document(configuration));
-        members.agrees(agreed);
-    }
-
     /** Takes part in a fleet from the start on. */
-    void joins(Setup.Fleet with) {
-        members = new Members(with, told, commands, clients, hall != null, inbox, clock, deadlines, counters);
+    void joinsFleet(Setup setup, byte[] configuration) {
+        agrees = setup.agreed() != null;
+        door = new FleetDoor(commands, inbox, clock, told.deployment(), hall != null);
+        members = new Members(setup, told, agrees ? Agreed.document(configuration) : null, door, clients, hall != null, clock, counters);
     }
 
     /** What this dispatcher's fitness is judged by. */
@@ -314,8 +308,8 @@
         if (hall != null) {
             hall.look();
         }
-        if (members != null) {
-            members.look();
+        if (door != null) {
+            door.look();
         }
     }
 
--- a/src/main/java/cobaltseam/setup/Setup.java
+++ b/src/main/java/cobaltseam/setup/Setup.java
@@ -14,9 +14,9 @@
 import cobaltseam.seal.SealKeys;
 
 /** What our own file switches on; a part that is null is off. */
-public record Setup(boolean jsonLog, Hall hall, Fleet fleet, Agreed agreed) {
+public record Setup(boolean jsonLog, Hall hall, Fleet fleet, Agreed agreed, Spread spread) {
     /** Without a file: everything is off. */
-    public static final Setup OFF = new Setup(false, null, null, null);
+    public static final Setup OFF = new Setup(false, null, null, null, null);
 
     /** The group of dispatchers that share virtual addresses by VRRP; elsewhere is below zero where it is not set. */
     public record Hall(InetSocketAddress listen, List<InetSocketAddress> peers, Covers covers, boolean followsIntervals,
@@ -55,6 +55,44 @@
     public record Agreed(Span contradiction) {
     }
 
+    /**
+     * What the fleet knows together of engines and of what its members need.
+     *
+     * @param byDemand whether parts of the engines follow demand; else they are even over the view
+     * @param alone the share of engines that dispatchers hold whatever they know, all together
+     * @param floor the share of its even part that one keeps, though it needs nothing
+     * @param lease for how long a part outlives the word of a majority
+     * @param window after which half of what a dispatcher was asked for counts no more
+     * @param round between two rounds of asking others
+     * @param end after which a figure of another is unknown
+     * @param news between two rounds of asking another what engines told it; zero for never
+     * @param audit whether each change of the own part is written to the log
+     */
+    public record Spread(boolean byDemand, double alone, double floor, Span lease, Span window, Span round, Span end, Span news, boolean audit) {
+        private static final long WHOLE = 1_000_000_000L;
+        private static final int ASKED = 3;
+        private static final int LOANS = 16;
+        /** Rounds after which what an engine told is nothing. */
+        private static final int NEWS_ROUNDS = 30;
+
+        /** In how many parts the engines are divided. */
+        public long whole() {
+            return WHOLE;
+        }
+
+        public cobaltseam.spread.Terms terms(int processes) {
+            return new cobaltseam.spread.Terms(WHOLE, alone, processes, floor, lease.times(0.25), LOANS);
+        }
+
+        public cobaltseam.spread.Reports.Terms reports(double clocks) {
+            return new cobaltseam.spread.Reports.Terms(news, 1, news.times(NEWS_ROUNDS), clocks);
+        }
+
+        public cobaltseam.sharing.Terms sharing(int mostBytes, double clocks) {
+            return new cobaltseam.sharing.Terms(round, ASKED, end, mostBytes, clocks);
+        }
+    }
+
     /** The keys of seals, the one to write with, and how much clocks may differ. */
     public record Sealing(SealKeys keys, int writeKey, Span clockDifference) {
     }
--- a/src/main/java/cobaltseam/setup/SetupReader.java
+++ b/src/main/java/cobaltseam/setup/SetupReader.java
@@ -90,7 +90,8 @@
         JsonNode mastership = told.path("mastership");
         JsonNode membership = told.path("membership");
         Setup setup = new Setup(json, mastership.isMissingNode() ? null : hall(mastership),
-                membership.isMissingNode() ? null : fleet(membership), agreed(told.path("agreement"), membership));
+                membership.isMissingNode() ? null : fleet(membership), agreed(told.path("agreement"), membership),
+                spread(told.path("spread"), membership, told.path("agreement")));
         end();
         return setup;
     }
@@ -242,6 +243,28 @@
         return new Setup.Agreed(new Span(value(told, schema.at("/properties/agreement/properties"), "contradiction_ms").asLong() * US_PER_MS));
     }
 
+    private Setup.Spread spread(JsonNode told, JsonNode membership, JsonNode agreement) {
+        if (told.isMissingNode()) {
+            return null;
+        }
+        JsonNode keys = schema.at("/properties/spread/properties");
+        if (membership.isMissingNode()) {
+            wrong("spread", told, "it needs [membership]: parts are those of the members of a view.");
+        }
+        if (told.has("lease_ms") && agreement.has("contradiction_ms")) {
+            wrong("spread.lease_ms", told.path("lease_ms"), "agreement.contradiction_ms says for how long a lease lasts; one of the two is allowed.");
+        }
+        Span round = new Span(value(told, keys, "round_ms").asLong() * US_PER_MS);
+        Span end = new Span(value(told, keys, "unknown_after_ms").asLong() * US_PER_MS);
+        if (end.compareTo(round) <= 0) {
+            wrong("spread.unknown_after_ms", told.path("unknown_after_ms"), "it must be longer than spread.round_ms.");
+        }
+        return new Setup.Spread(value(told, keys, "by").asText().equals("demand"), value(told, keys, "alone").asDouble(), value(told, keys, "floor").asDouble(),
+                new Span(value(told, keys, "lease_ms").asLong() * US_PER_MS), new Span(value(told, keys, "window_ms").asLong() * US_PER_MS), round, end,
+                new Span(value(told, keys, "news_ms").asLong() * US_PER_MS),
+                value(told, keys, "audit").asBoolean());
+    }
+
     private Setup.Fleet fleet(JsonNode told) {
         JsonNode keys = schema.at("/properties/membership/properties");
         InetSocketAddress listen = address("membership.listen", told.path("listen"));
--- a/src/main/java/cobaltseam/sharing/Sharing.java
+++ b/src/main/java/cobaltseam/sharing/Sharing.java
@@ -50,7 +50,7 @@
     }
 
     private final MemberName self;
-    private final Birth birth;
+    private Birth birth;
     private final Terms terms;
     private final RandomGenerator chance;
     private final Map<MemberName, Held> held = new TreeMap<>();
@@ -80,6 +80,16 @@
         open.values().removeIf(o -> !members.contains(o.of()));
     }
 
+    /** This process is another member from now on. */
+    public void born(Birth anew) {
+        birth = anew;
+    }
+
+    /** What this member says of itself under this name; 0 if it does not. */
+    public long own(String figure) {
+        return own == null ? 0 : own.byName().getOrDefault(figure, 0L);
+    }
+
     /** What this member says of itself from now on. */
     public void say(Figures figures) {
         own = figures;
--- a/src/test/java/cobaltseam/fleet/AgreementFleetTest.java
+++ b/src/test/java/cobaltseam/fleet/AgreementFleetTest.java
@@ -130,6 +130,15 @@
         assertEquals(List.of(), AgreeHunt.one(common, 3, 1012).broken());
     }
 
+    @Test
+    void aLeaseThatEndsWhileSomethingElseWaitsIsSeenAtOnce() {
+        // Cut off with a successor accepted, its lease could not be asked for again, and its end was passed over by up to an eighth of it.
+        Fleet.Common common = new Fleet.Common();
+        common.seconds = 60;
+        common.folders = true;
+        assertEquals(0, AgreeHunt.one(common, 3, 5944).longest().seconds());
+    }
+
     @Test
     void drawnScriptsBreakNothing() {
         for (long seed = 1; seed <= 60; seed++) {
--- a/src/test/java/cobaltseam/setup/SetupReaderTest.java
+++ b/src/test/java/cobaltseam/setup/SetupReaderTest.java
@@ -56,6 +56,25 @@
         return why;
     }
 
+    private static final String MEMBER = """
+            [membership]
+            fleet = "north"
+            listen = "127.0.0.1:7946"
+            """;
+
+    @Test
+    void whatHangsOnMembershipNeedsItAndHasDefaults() throws IOException {
+        Setup setup = SetupReader.read(write(MEMBER + "[agreement]\n[spread]\nwindow_ms = 500\n"));
+        assertEquals(new Span(2_000_000), setup.agreed().contradiction());
+        assertEquals(new Setup.Spread(false, 0.1, 0.25, new Span(2_000_000), new Span(500_000), new Span(1_000_000), new Span(10_000_000), new Span(100_000), false),
+                setup.spread());
+        assertTrue(wrong("[spread]\n").contains("it needs [membership]"));
+        assertTrue(wrong("[agreement]\n").contains("it needs [membership]"));
+        assertTrue(wrong(MEMBER + "[agreement]\ncontradiction_ms = 500\n[spread]\nlease_ms = 500\n").contains("one of the two"));
+        assertTrue(wrong(MEMBER + "[spread]\nround_ms = 5000\nunknown_after_ms = 5000\n").contains("longer than spread.round_ms"));
+        assertTrue(wrong(MEMBER + "[spread]\nalone = 1.5\n").contains("spread.alone"));
+    }
+
     @Test
     void nothingIsOnInAnEmptyFile() throws IOException {
         assertEquals(Setup.OFF, SetupReader.read(write("")));
