What fails or stays silent tells of no room: a release of most engines no longer looks like an empty pool

Lines: `full` in refresh, `roomy` in settle.

Change: the part of sends that fail counts as a full engine in what reports tell; usual latency is learnt fast only while hardly any fail.

The test fails without the change.

--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -402,7 +402,6 @@
             load.add(inHand / e.cores, NEWS);
         }
     }
-
     /** The work of all commands taken so far, in microseconds of one thread: what this dispatcher needs. */
     public double offered() {
         return offered;
@@ -790,13 +789,14 @@
                     fallBack(sent);
                 }
                 double raw = ratio * Math.exp(way.scatter);
-                if (full <= 1 / NEAR) {
+                boolean roomy = full <= 1 / NEAR && failing.mean(0) <= NEWS;
+                if (roomy) {
                     learnScatter(way, Math.log(raw));
                 }
                 double step = raw > 1 ? USUAL_QUANTILE - 1 : USUAL_QUANTILE;
                 // Guards against a jam that becomes the usual: unless reports tell of room, only the first
                 // answers raise it fast. Guards as well against estimates so low that all looks like a jam.
-                boolean fast = ++way.answers * NEWS <= 1 || ratio <= 1 || pace <= NEAR || full <= 1 / NEAR;
+                boolean fast = ++way.answers * NEWS <= 1 || ratio <= 1 || pace <= NEAR || roomy;
                 way.usual *= Math.exp(-step * Math.max(USUAL_STEP, fast ? 1 / (1 / NEWS + way.answers) : 0));
             }
             case TIMED_OUT, CANCELLED -> {
@@ -880,6 +880,8 @@
         // Renewed soon, unless all is not usual: then at the stay of a send, so that the threads out come to
         // the share in the mean. Guards against hundreds of dispatchers that fill the engines by chance.
         full = load.weight > 0 ? load.sum / load.weight * meanThreads / THREADS_PER_CORE : WORST;
+        // Reports come with answers alone: what fails or stays silent tells of no room.
+        full += Math.max(0, 1 - full) * allFailing;
         boolean unusual = pace > NEAR && full > LEAST_SHARE || load.weight > 0 && full > 1 / NEAR;
         Span renewal = unusual ? meanStay : meanStay.min(redraw());
         double[] slowness = new double[sorted.size()];
--- a/src/test/java/cobaltseam/dispatch/MoreTest.java
+++ b/src/test/java/cobaltseam/dispatch/MoreTest.java
@@ -152,4 +152,40 @@
         }
         return w.finals.size() - before;
     }
+
+    /** Of a hundred commands that come while answers take three times the usual, how many are shed as they come. */
+    private static long shedAtOnce(boolean failing) {
+        World w = world(NOTES, 1, 1, 2, 5, 6);
+        w.inHand = 1;
+        for (int i = 0; i < 60; i++) {
+            World.Out o = sendOne(w);
+            w.pass(new Span(WORK));
+            w.end(o, Ending.ANSWERED, true);
+        }
+        long before = 0;
+        for (int i = 0; i < 100; i++) {
+            int sent = w.sends.size();
+            long shed = w.finals.size();
+            Command c = w.take("p", WORK);
+            before += w.finals.size() - shed;
+            if (w.sends.size() == sent) {
+                continue;
+            }
+            boolean fails = failing && i % 4 != 0;
+            w.pass(new Span(fails ? WORK / 10 : 3 * WORK));
+            if (w.out.containsKey(c.id())) {
+                w.end(w.out.get(c.id()), fails ? Ending.ERROR : Ending.ANSWERED, true);
+            }
+        }
+        return before;
+    }
+
+    @Test
+    void whatFailsTellsOfNoRoomThoughTheFewAnswersDo() {
+        // Reports come with answers alone. Before, a pool of which most did not answer looked empty by the rest, and nothing was shed.
+        long alone = shedAtOnce(false);
+        long beside = shedAtOnce(true);
+        assertEquals(0, alone, "slow, but all engines tell of room");
+        assertTrue(beside > 0, "slow, and most of all fails");
+    }
 }
