One fleet: further sends capped over all dispatchers, by what first sends earn and can be given

Off unless the own file has [repeats].

Each first send earns a part of a further one, which is in one purse until it is spent, given or ended (repeats/Purse; no view or lease needed). The module has one door (furtherLeft): what is denied a further send is answered at once.

Not built: budgets by hall and engine, states of a recovering engine, which command gets a scarce repeat.

--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -101,7 +101,7 @@
     /** Threads of a command on its engine, and how long it stays, both by time spent there. */
     private double meanThreads = 1;
     private Span meanStay;
-    private long arrivals;
+    private long arrivals, furtherLeft = Long.MAX_VALUE;
     private double offered;
     /** Work of the last commands taken, and their benefit for it. */
     private final double[] recentTime = new double[RECENT], recentDensity = new double[RECENT];
@@ -167,7 +167,8 @@
         overShareWorth = told.overShareWorth();
         home = told.place().crossingCosts() ? told.place().location() : null;
         Deployment.Rules rules = told.rules();
-        cold = new Cold(rules.coldFrom(), rules.warmWithin(), rules.fallMultiple() * COLD_CAUTION / dispatchers);
+        double multiple = rules.fallMultiple() * COLD_CAUTION / dispatchers;
+        cold = new Cold(rules.coldFrom(), rules.warmWithin(), multiple);
         if (rules.furtherWindow() != null) {
             rations.removeIf(r -> r.same(rules));
             rations.add(new Ration(rules.furtherFree(), rules.furtherRatio(), rules.furtherWindow(), null));
@@ -222,7 +223,6 @@
         Engine best = choose(cmd, now);
         return best == null ? Placement.hold() : send(cmd, best, now);
     }
-
     /** What to do after an outcome: write nothing, or a final answer. */
     public Placement after(Outcome outcome, Moment now) {
         Sent sent = out(outcome.command(), outcome.send());
@@ -255,7 +255,6 @@
         hold(cmd);
         return Placement.hold();
     }
-
     /** The held command to place next, or how long to wait before asking again. */
     public Pause pause(Moment now) {
         refresh(now);
@@ -354,7 +353,6 @@
         });
         refreshed = null;
     }
-
     /** The list of engines, whole or changes only. Within one list, not being up overrules being up. */
     public void listed(List<Listing> list, boolean whole, Moment now) {
         refreshed = null;
@@ -392,7 +390,6 @@
         e.whole = e.cores * THREADS_PER_CORE;
         e.memoryPerThread = kind == null ? 0 : kind.memoryMb() / e.whole;
     }
-
     /** What an engine told another dispatcher of the commands in hand there, at this moment or later. */
     public void reported(EngineId id, double inHand, Moment at) {
         Engine e = engines.get(id);
@@ -402,6 +399,10 @@
             load.add(inHand / e.cores, NEWS);
         }
     }
+    /** Of what all dispatchers may send again together so much is left here; else what failed is given up. */
+    public void furtherLeft(long sends) {
+        furtherLeft = sends;
+    }
     /** The work of all commands taken so far, in microseconds of one thread: what this dispatcher needs. */
     public double offered() {
         return offered;
@@ -448,7 +449,6 @@
             cuts.add(sent);
         }
     }
-
     /** A send spills for want of so much memory: tells its profile's need where answers don't. */
     public void spills(CommandId id, int send, double missingMb) {
         Sent sent = out(id, send);
@@ -508,7 +508,6 @@
         }
         return cmd == null || cmd.out == null ? null : longest(cmd, now);
     }
-
     /** The client has left: nothing more is owed for the command. */
     public void departed(CommandId id, Moment now) {
         Cmd cmd = open.get(id);
@@ -660,7 +659,8 @@
         return inTime.before(last) ? inTime : last;
     }
     private boolean lost(Cmd cmd, Moment now) {
-        return cmd.drop || !repeatable(cmd, now) || !now.before(cmd.giveUpAt);
+        return cmd.drop || cmd.sends > 0 && furtherLeft < 1 || !repeatable(cmd, now)
+                || !now.before(cmd.giveUpAt);
     }
 
     /**
--- a/src/main/java/cobaltseam/ground/Ground.java
+++ b/src/main/java/cobaltseam/ground/Ground.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -22,6 +23,8 @@
 import cobaltseam.membership.Spoken;
 import cobaltseam.membership.View;
 import cobaltseam.membership.ViewId;
+import cobaltseam.repeats.Purse;
+import cobaltseam.repeats.PurseWord;
 import cobaltseam.sharing.Known;
 import cobaltseam.sharing.Shared;
 import cobaltseam.sharing.Sharing;
@@ -49,6 +52,16 @@
         void doing(Doing doing);
     }
 
+    /** What was sent so far by this process. */
+    public interface Sends {
+        long firsts();
+
+        /** Further ones, and those that it would have made. */
+        long furtherWanted();
+    }
+
+    /** The name of the figure by which members say how many further sends others may ask them for, in thousandths. */
+    public static final String SPARE = "repeats.spare";
     /** The name of the figure by which members say what they need. */
     public static final String DEMAND = "spread.demand";
     /** Figures are whole numbers; demand is said in this many to one. */
@@ -60,6 +73,8 @@
     private final Sharing sharing;
     private Holdings holdings;
     private Reports reports;
+    private Purse purse;
+    private Sends sends;
     private final Out out;
     private View shared;
     private boolean following;
@@ -87,6 +102,12 @@
         reports = of;
     }
 
+    /** Has members cap further sends together; needs sharing. */
+    public void caps(Purse with, Sends by) {
+        purse = with;
+        sends = by;
+    }
+
     /** What holdings hang on. */
     public Holdings.Ground under() {
         return new Holdings.Ground() {
@@ -182,6 +203,8 @@
                 shares(sharing.heard(said.told(), now));
             } else if (message instanceof LoanWord word && holdings != null) {
                 holdings.heard(word, now).forEach(t -> out.tell(t.to(), t.word()));
+            } else if (message instanceof PurseWord word && purse != null) {
+                purse.heard(word, membership.view(), membership.teller(), now).forEach(t -> out.tell(t.to(), t.word()));
             } else if (message instanceof ReportWord word && reports != null) {
                 reports.heard(word, membership.view(), membership.teller(), now).forEach(t -> out.tell(t.to(), t.word()));
             }
@@ -198,6 +221,7 @@
         wake = lease == null ? wake : sooner(wake, lease.wake(now));
         wake = agreement == null ? wake : sooner(wake, agreement.wake(now));
         wake = sharing == null ? wake : sooner(wake, sharing.wake());
+        wake = purse == null ? wake : sooner(wake, purse.wake(now));
         wake = reports == null ? wake : sooner(wake, reports.wake());
         return holdings == null ? wake : sooner(wake, holdings.wake(now));
     }
@@ -235,6 +259,18 @@
         }
     }
 
+    private Map<MemberName, Long> spares(Moment now) {
+        Map<MemberName, Long> spares = new HashMap<>();
+        for (Member m : membership.view() == null ? List.<Member>of() : membership.view().members()) {
+            Known known = sharing.known(m.name(), now);
+            Long said = known == null ? null : known.figures().byName().get(SPARE);
+            if (said != null) {
+                spares.put(m.name(), said);
+            }
+        }
+        return spares;
+    }
+
     private void shares(List<Sharing.Send> sends) {
         View view = membership.view();
         for (Sharing.Send send : sends) {
@@ -270,6 +306,10 @@
         if (holdings != null) {
             holdings.follow(now).forEach(t -> out.tell(t.to(), t.word()));
         }
+        if (purse != null && purse.isDue(now)) {
+            purse.follow(sends.firsts(), sends.furtherWanted(), spares(now), membership.view(), membership.teller(), now)
+                    .forEach(t -> out.tell(t.to(), t.word()));
+        }
         if (reports != null) {
             reports.due(membership.view(), membership.teller(), now).forEach(t -> out.tell(t.to(), t.word()));
         }
--- a/src/main/java/cobaltseam/hall/MessageCodec.java
+++ b/src/main/java/cobaltseam/hall/MessageCodec.java
@@ -16,6 +16,7 @@
 import cobaltseam.membership.MemberName;
 import cobaltseam.membership.Message;
 import cobaltseam.membership.Spoken;
+import cobaltseam.repeats.PurseWord;
 import cobaltseam.seal.Seal;
 import cobaltseam.seal.SealKeys;
 import cobaltseam.sharing.Shared;
@@ -52,7 +53,7 @@
             Message.Accepted.class, Message.Decided.class, Message.AskView.class, Message.ViewPart.class, LeaseWord.Renew.class,
             LeaseWord.Granted.class, Word.Offer.class, Word.Checked.class, Word.Want.class, Word.Piece.class,
             Shared.ShareAsk.class, Shared.ShareNewer.class, LoanWord.Borrow.class, LoanWord.Lent.class,
-            ReportWord.AskReports.class, ReportWord.Table.class)
+            ReportWord.AskReports.class, ReportWord.Table.class, PurseWord.Beg.class, PurseWord.Give.class)
             .collect(Collectors.toMap(Class::getSimpleName, Function.identity()));
 
     /** Why bytes are not taken for a message that counts. */
--- a/src/main/java/cobaltseam/service/Commands.java
+++ b/src/main/java/cobaltseam/service/Commands.java
@@ -67,6 +67,8 @@
     private BooleanSupplier maySend = () -> true;
     /** Hears what engines tell of the commands that they hold; null where nobody does. */
     private FleetDoor reports;
+    /** Caps further sends over the fleet; null where it does not. */
+    private FleetDoor caps;
     /** Whether the module was told something and not yet asked what follows. */
     private boolean news;
 
@@ -125,6 +127,17 @@
         reports = door;
     }
 
+    /** Has the fleet cap further sends. */
+    void cappedBy(FleetDoor door) {
+        caps = door;
+    }
+
+    private void capped() {
+        if (caps != null) {
+            dispatcher.furtherLeft(caps.furtherLeft());
+        }
+    }
+
     /** What an engine told another dispatcher of the commands that it holds, at this moment or later. */
     void reported(EngineId engine, double inHand, Moment at) {
         dispatcher.reported(engine, inHand, at);
@@ -280,6 +293,7 @@
 
     private Span followed(long faults) {
         Moment now = clock.now();
+        capped();
         Pause pause = dispatcher.pause(now);
         while (pause.span() != null && !pause.span().isPositive()) {
             if (counters.of(Count.FAULTS) > faults) {
@@ -297,6 +311,7 @@
                 engines.probe(pause.probe(), now);
             }
             now = clock.now();
+            capped();
             pause = dispatcher.pause(now);
         }
         return pause.span();
@@ -310,6 +325,7 @@
     /** Asks the module for one command; a fault of its code fails this command and no other. */
     private void carryOut(InHand c, Supplier<Placement> asked) {
         Placement p;
+        capped();
         try {
             p = asked.get();
         } catch (RuntimeException e) {
@@ -321,16 +337,18 @@
             return;
         }
         switch (p.verdict()) {
-            case SEND -> c.out = maySend.getAsBoolean()
+            case SEND -> c.out = maySend.getAsBoolean() && isWithinCap(c)
                     ? engines.send(c.id, c.sends++, p.engine(), c.statement, p.sendTimeout(), clock.now())
                     : engines.neverSend(c.id, c.sends++, p.engine(), c.statement, clock.now());
             case SHED -> {
+                denied(c);
                 counters.add(Count.COMMANDS_SHED);
                 Asker asker = c.asker;
                 forget(c);
                 asker.shed(p.comeBack());
             }
             case FAIL -> {
+                denied(c);
                 counters.add(Count.COMMANDS_FAILED);
                 Asker asker = c.asker;
                 forget(c);
@@ -339,4 +357,23 @@
             default -> { }
         }
     }
+
+    private boolean isWithinCap(InHand c) {
+        if (caps == null) {
+            return true;
+        }
+        if (c.sends == 0) {
+            caps.first();
+            return true;
+        }
+        return caps.takesFurther();
+    }
+
+    /** One that was sent and is given up while nothing is left to be sent again may have been given up for that. */
+    private void denied(InHand c) {
+        if (caps != null && c.sends > 0 && caps.furtherLeft() < 1) {
+            counters.add(Count.REPEATS_DENIED);
+            caps.denied();
+        }
+    }
 }
--- a/src/main/java/cobaltseam/service/FleetDoor.java
+++ b/src/main/java/cobaltseam/service/FleetDoor.java
@@ -11,7 +11,9 @@
 import cobaltseam.dispatch.Deployment;
 import cobaltseam.dispatch.EngineId;
 import cobaltseam.dispatch.Moment;
+import cobaltseam.ground.Ground;
 import cobaltseam.log.Field;
+import cobaltseam.repeats.Purse;
 import cobaltseam.spread.Reports;
 import cobaltseam.spread.Reports.Report;
 
@@ -35,6 +37,10 @@
     /** What engines told here, whole and youngest; and what they told others that the owner's thread has not taken yet. */
     private final AtomicReference<List<Report>> toldHere = new AtomicReference<>(List.of());
     private final AtomicReference<List<Report>> toldElsewhere = new AtomicReference<>();
+    /** What is left to be sent again, in thousandths; and how often was sent at first and would have been again, by the owner's thread. */
+    private final AtomicLong furtherLeft = new AtomicLong();
+    private final AtomicLong firsts = new AtomicLong();
+    private final AtomicLong wanted = new AtomicLong();
     private final Commands commands;
     private final Inbox inbox;
     private final Clock clock;
@@ -64,8 +70,43 @@
         commands.reportsTo(this);
     }
 
+    /** Further sends are capped from now on; asked before the first command comes. */
+    void caps() {
+        commands.cappedBy(this);
+    }
+
     // ---- the fleet's thread
 
+    /** What is left to be sent again, as its purse sees it. */
+    Purse.Left left() {
+        return new Purse.Left() {
+            @Override
+            public long get() {
+                return furtherLeft.get();
+            }
+
+            @Override
+            public boolean change(long expected, long to) {
+                return furtherLeft.compareAndSet(expected, to);
+            }
+        };
+    }
+
+    /** What was sent so far. */
+    Ground.Sends sends() {
+        return new Ground.Sends() {
+            @Override
+            public long firsts() {
+                return firsts.getOpaque();
+            }
+
+            @Override
+            public long furtherWanted() {
+                return wanted.getOpaque();
+            }
+        };
+    }
+
     void publish(FleetWord anew) {
         word.setRelease(anew);
         // So that one that rests looks at it.
@@ -115,6 +156,32 @@
         }
     }
 
+    /** How many further sends are left. */
+    long furtherLeft() {
+        return furtherLeft.get() / Purse.ONE;
+    }
+
+    /** A command is sent for the first time. */
+    void first() {
+        firsts.setOpaque(firsts.getPlain() + 1);
+    }
+
+    /** A command would be sent again, and is not for want of what is left. */
+    void denied() {
+        wanted.setOpaque(wanted.getPlain() + 1);
+    }
+
+    /** Takes one further send; false if none is left by now. */
+    boolean takesFurther() {
+        wanted.setOpaque(wanted.getPlain() + 1);
+        for (long is = furtherLeft.get(); is >= Purse.ONE; is = furtherLeft.get()) {
+            if (furtherLeft.compareAndSet(is, is - Purse.ONE)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** An engine told that it holds so many commands that do not wait for memory. */
     void heard(EngineId engine, double inHand, Moment now) {
         if (heard.size() < Reports.MOST || heard.containsKey(engine)) {
--- a/src/main/java/cobaltseam/service/Members.java
+++ b/src/main/java/cobaltseam/service/Members.java
@@ -36,6 +36,7 @@
 import cobaltseam.membership.Terms;
 import cobaltseam.membership.View;
 import cobaltseam.membership.ViewId;
+import cobaltseam.repeats.Purse;
 import cobaltseam.service.Counters.Count;
 import cobaltseam.setup.Setup;
 import cobaltseam.sharing.Figures;
@@ -59,6 +60,7 @@
     private static final int MOST_AT_ONCE = 1024;
     /** What SHOW tells is no older than this. */
     private static final Span SHOWN_EVERY = new Span(100_000);
+    private static final Span SAYS_EVERY = new Span(250_000);
     /** By which part the rates of two clocks differ at most. */
     private static final double CLOCKS = 0.001;
 
@@ -87,6 +89,8 @@
     private final Demand demand;
     /** What engines told; null where members do not tell each other. */
     private final Reports reports;
+    /** Caps further sends over the fleet; null where it does not. */
+    private final Purse purse;
     private final Ground ground;
     /** Datagrams to send once what follows from them here is published. */
     private final List<Tell> tells = new ArrayList<>();
@@ -137,8 +141,8 @@
         Span lasts = setup.agreed() != null ? setup.agreed().contradiction() : divides() ? spread.lease() : null;
         lease = lasts == null ? null : new Lease(new Lease.Terms(lasts, CLOCKS), membership, chance.split());
         agreed = setup.agreed() == null ? null : agreed(setup.agreed(), own, document, chance.split());
-        sharing = !divides() ? null : new Sharing(self.name(), membership.self().birth(), spread.sharing(MessageCodec.LARGEST / 2, CLOCKS), chance.split(),
-                clock.now());
+        sharing = !divides() && setup.repeats() == null ? null : new Sharing(self.name(), membership.self().birth(),
+                setup.sharing(MessageCodec.LARGEST / 2, CLOCKS), chance.split(), clock.now());
         ground = new Ground(membership, lease, agreed == null ? null : agreed.agreement(), sharing, new Does());
         holdings = !divides() ? null : new Holdings(spread.terms(own.dispatchers()), ground.under(), chance.split());
         demand = !divides() ? null : new Demand(spread.window());
@@ -150,6 +154,12 @@
         if (holdings != null) {
             ground.holds(holdings);
         }
+        purse = setup.repeats() == null ? null : new Purse(setup.repeats().terms(CLOCKS), door.left(), chance.split());
+        if (purse != null) {
+            ground.caps(purse, door.sends());
+            door.caps();
+            shows("repeats", this::repeatRows);
+        }
         if (spread != null) {
             shows("spread", this::spreadRows);
         }
@@ -385,14 +395,21 @@
         }
     }
 
-    /** Says what this dispatcher needs, once a round of sharing. */
+    /** Says what this dispatcher needs, and what it can do without. */
     private void needs() {
         Moment now = clock.now();
-        if (divides() && (saidAt == null || now.since(saidAt).compareTo(spread.round()) >= 0)) {
+        if (sharing != null && (saidAt == null || now.since(saidAt).compareTo(SAYS_EVERY) >= 0)) {
             saidAt = now;
-            double rate = demand.told(door.offered(), now);
-            holdings.needs(rate);
-            sharing.say(new Figures(Map.of(Ground.DEMAND, Ground.figure(rate))));
+            Map<String, Long> figures = new HashMap<>();
+            if (holdings != null) {
+                double rate = demand.told(door.offered(), now);
+                holdings.needs(rate);
+                figures.put(Ground.DEMAND, Ground.figure(rate));
+            }
+            if (purse != null) {
+                figures.put(Ground.SPARE, purse.spare());
+            }
+            sharing.say(new Figures(figures));
         }
     }
 
@@ -535,6 +552,20 @@
         return told;
     }
 
+    /** SHOW cobaltseam.repeats. */
+    private List<String[]> repeatRows() {
+        List<String[]> told = new ArrayList<>();
+        told.add(new String[] {"left", String.format(Locale.ROOT, "%.3f", (double) door.left().get() / Purse.ONE)});
+        told.add(new String[] {"wanted_a_second", String.format(Locale.ROOT, "%.3f", purse.need())});
+        told.add(new String[] {"first_sends", Long.toString(door.sends().firsts())});
+        told.add(new String[] {"further_sends_and_denied", Long.toString(door.sends().furtherWanted())});
+        told.add(new String[] {"denied", Long.toString(counters.of(Count.REPEATS_DENIED))});
+        Sharing.Sum spare = sharing.sum(Ground.SPARE, clock.now());
+        told.add(new String[] {"others_can_spare", String.format(Locale.ROOT, "%.3f, %d members known, %d not",
+                (double) (spare.sum() - sharing.own(Ground.SPARE)) / Purse.ONE, spare.counted(), spare.unknown())});
+        return told;
+    }
+
     private String part(long amount) {
         return String.format(Locale.ROOT, "%.6f", (double) amount / spread.whole());
     }
--- a/src/main/java/cobaltseam/setup/Setup.java
+++ b/src/main/java/cobaltseam/setup/Setup.java
@@ -14,9 +14,19 @@
 import cobaltseam.seal.SealKeys;
 
 /** What our own file switches on; a part that is null is off. */
-public record Setup(boolean jsonLog, Hall hall, Fleet fleet, Agreed agreed, Spread spread) {
+public record Setup(boolean jsonLog, Hall hall, Fleet fleet, Agreed agreed, Spread spread, Repeats repeats) {
     /** Without a file: everything is off. */
-    public static final Setup OFF = new Setup(false, null, null, null, null);
+    public static final Setup OFF = new Setup(false, null, null, null, null, null);
+
+    private static final Span SHARING_ROUND = new Span(1_000_000);
+    private static final int SHARING_ASKED = 3;
+    private static final int SHARING_ROUNDS = 10;
+
+    /** How members tell each other their figures. */
+    public cobaltseam.sharing.Terms sharing(int mostBytes, double clocks) {
+        Span round = spread != null ? spread.round() : SHARING_ROUND;
+        return new cobaltseam.sharing.Terms(round, SHARING_ASKED, spread != null ? spread.end() : round.times(SHARING_ROUNDS), mostBytes, clocks);
+    }
 
     /** The group of dispatchers that share virtual addresses by VRRP; elsewhere is below zero where it is not set. */
     public record Hall(InetSocketAddress listen, List<InetSocketAddress> peers, Covers covers, boolean followsIntervals,
@@ -70,7 +80,6 @@
      */
     public record Spread(boolean byDemand, double alone, double floor, Span lease, Span window, Span round, Span end, Span news, boolean audit) {
         private static final long WHOLE = 1_000_000_000L;
-        private static final int ASKED = 3;
         private static final int LOANS = 16;
         /** Rounds after which what an engine told is nothing. */
         private static final int NEWS_ROUNDS = 30;
@@ -88,8 +97,19 @@
             return new cobaltseam.spread.Reports.Terms(news, 1, news.times(NEWS_ROUNDS), clocks);
         }
 
-        public cobaltseam.sharing.Terms sharing(int mostBytes, double clocks) {
-            return new cobaltseam.sharing.Terms(round, ASKED, end, mostBytes, clocks);
+    }
+
+    /**
+     * That further sends are capped over the fleet.
+     *
+     * @param ratio further sends for each first one
+     * @param alone further sends in a window that each dispatcher has beside, whatever it knows
+     * @param window for which what first sends earn may be spent
+     * @param round between two looks at whom to ask for more
+     */
+    public record Repeats(double ratio, double alone, Span window, Span round) {
+        public cobaltseam.repeats.Terms terms(double clocks) {
+            return new cobaltseam.repeats.Terms(ratio, alone, window, round, clocks);
         }
     }
 
--- a/src/main/java/cobaltseam/setup/SetupReader.java
+++ b/src/main/java/cobaltseam/setup/SetupReader.java
@@ -91,7 +91,7 @@
         JsonNode membership = told.path("membership");
         Setup setup = new Setup(json, mastership.isMissingNode() ? null : hall(mastership),
                 membership.isMissingNode() ? null : fleet(membership), agreed(told.path("agreement"), membership),
-                spread(told.path("spread"), membership, told.path("agreement")));
+                spread(told.path("spread"), membership, told.path("agreement")), repeats(told.path("repeats"), membership));
         end();
         return setup;
     }
@@ -265,6 +265,22 @@
                 value(told, keys, "audit").asBoolean());
     }
 
+    private Setup.Repeats repeats(JsonNode told, JsonNode membership) {
+        if (told.isMissingNode()) {
+            return null;
+        }
+        JsonNode keys = schema.at("/properties/repeats/properties");
+        if (membership.isMissingNode()) {
+            wrong("repeats", told, "it needs [membership]: what is left is moved between members.");
+        }
+        Span window = new Span(value(told, keys, "window_ms").asLong() * US_PER_MS);
+        Span round = new Span(value(told, keys, "round_ms").asLong() * US_PER_MS);
+        if (round.compareTo(window) >= 0) {
+            wrong("repeats.round_ms", told.path("round_ms"), "it must be shorter than repeats.window_ms.");
+        }
+        return new Setup.Repeats(value(told, keys, "ratio").asDouble(), value(told, keys, "alone").asDouble(), window, round);
+    }
+
     private Setup.Fleet fleet(JsonNode told) {
         JsonNode keys = schema.at("/properties/membership/properties");
         InetSocketAddress listen = address("membership.listen", told.path("listen"));
--- a/src/test/java/cobaltseam/dispatch/DesignTest.java
+++ b/src/test/java/cobaltseam/dispatch/DesignTest.java
@@ -103,6 +103,43 @@
         assertEquals(18, w.sends.size() + w.finals.size() - 1, "nothing was sent again");
     }
 
+    @Test
+    void withNothingLeftToSendAgainWhatFailsIsGivenUpAtOnce() {
+        World w = world(0, 4, 1, 4);
+        w.dispatcher.furtherLeft(1);
+        Command first = w.take("p", WORK);
+        w.end(w.out.get(first.id()), Ending.ERROR, false);
+        assertEquals(2, w.sends.size(), "one was left");
+        w.dispatcher.furtherLeft(0);
+        w.end(w.out.get(first.id()), Ending.ERROR, false);
+        assertEquals(Placement.Verdict.SHED, w.finals.get(first.id()).verdict());
+        w.take("p", WORK);
+        w.pass(new Span(1_000_000));
+        assertEquals(3, w.sends.size(), "first sends go on");
+    }
+
+    @Test
+    void whatAnEngineToldOthersEndsBorrowingThere() {
+        World w = world(0, 4, 1, 4);
+        w.inHand = 1;
+        answer(w, 30, WORK);
+        burst(w);
+        int borrowed = w.out.size();
+        assertTrue(borrowed > 4, "it borrows: " + borrowed);
+        w = world(0, 4, 1, 4);
+        w.inHand = 1;
+        answer(w, 30, WORK);
+        w.dispatcher.reported(new EngineId(4), 16, w.now.plus(new Span(1)));
+        burst(w);
+        assertTrue(w.out.size() < borrowed, "others fill it: " + w.out.size());
+        w = world(0, 4, 1, 4);
+        w.inHand = 1;
+        answer(w, 30, WORK);
+        w.dispatcher.reported(new EngineId(4), 16, w.now.minus(new Span(1_000_000)));
+        burst(w);
+        assertEquals(borrowed, w.out.size(), "older than what it told here");
+    }
+
     private static void answer(World w, int times, long latency) {
         for (int i = 0; i < times; i++) {
             w.take("p", WORK);
--- a/src/test/java/cobaltseam/fleet/RealFleetTest.java
+++ b/src/test/java/cobaltseam/fleet/RealFleetTest.java
@@ -372,6 +372,77 @@
         }
     }
 
+    @Test
+    void furtherSendsOfAllStayUnderTheirPartOfFirstOnes() throws Exception {
+        AtomicBoolean over = new AtomicBoolean();
+        try (EngineStandIn one = new EngineStandIn("127.0.0.1", p -> 5); EngineStandIn two = new EngineStandIn("127.0.0.1", p -> 5);
+             EngineStandIn three = new EngineStandIn("127.0.0.1", p -> 5); BusStandIn bus = new BusStandIn("127.0.0.1")) {
+            List<EngineStandIn> engines = List.of(one, two, three);
+            List<String> known = List.of(bus.tell(true, BusStandIn.target(1, one.address(), "in_service"),
+                    BusStandIn.target(2, two.address(), "in_service"), BusStandIn.target(3, three.address(), "in_service")));
+            // One further send for each hundred first ones, and one in 25 seconds for each process; uncapped there are some 90.
+            RealFleet.Plan plan = RealFleet.Plan.of(4).with("[repeats]\nratio = 0.01\nalone = 0.2\nwindow_ms = 5000\nround_ms = 50")
+                    .with(new RealFleet.Engines(bus.address(), known));
+            List<Trouble> script = List.of(new Trouble(Kind.LOSS, 0, 600, List.of(), List.of(), 0.3),
+                    new Trouble(Kind.DOUBLE, 0, 600, List.of(), List.of(), 0.3));
+            try (RealFleet fleet = new RealFleet(plan, script, 11, folder)) {
+                fleet.startAll();
+                settles(fleet);
+                long from = System.nanoTime();
+                Map<Ledger.End, Integer> ends = new ConcurrentHashMap<>();
+                AtomicInteger asked = new AtomicInteger();
+                List<Thread> clients = new java.util.ArrayList<>();
+                for (int i = 0; i < 12; i++) {
+                    clients.add(client(fleet, i % 3, ends, asked, over));
+                }
+                awaitBegun(engines, 400);
+                // Two of three fail all that they get; then one process ends and another stands still with what it has left.
+                one.failing(true);
+                two.failing(true);
+                awaitBegun(engines, 1200);
+                fleet.kill(1);
+                fleet.stop(2);
+                Thread.sleep(1000);
+                fleet.start(1);
+                fleet.go(2);
+                awaitBegun(engines, 2400);
+                over.set(true);
+                for (Thread client : clients) {
+                    client.join();
+                }
+                double seconds = (System.nanoTime() - from) / 1e9;
+                Map<String, Integer> sends = new java.util.HashMap<>();
+                engines.forEach(e -> e.ledger().forEach((call, ran) -> sends.merge(call, ran.begun().get(), Integer::sum)));
+                int further = sends.values().stream().mapToInt(n -> n - 1).sum();
+                // Each life of a process earns its own part, for its window as well.
+                double most = 0.01 * sends.size() + 0.2 * (4 + 1) * (seconds + 5) / 5;
+                assertTrue(further <= most, further + " further sends of " + sends.size() + " in " + seconds + " s; at most " + most);
+                settles(fleet);
+                int denied = 0;
+                for (int i = 0; i < 3; i++) {
+                    denied += Integer.parseInt(shown(fleet, i, "repeats").getOrDefault("denied", "0"));
+                }
+                assertTrue(denied > 0, "without the cap more would have been sent again");
+                assertTrue(further > 0, "and within it some were");
+            }
+        } finally {
+            over.set(true);
+        }
+    }
+
+    private static void awaitBegun(List<EngineStandIn> engines, int commands) throws InterruptedException {
+        for (long from = System.nanoTime(); engines.stream().mapToInt(e -> e.ledger().size()).sum() < commands;) {
+            assertTrue(System.nanoTime() - from < LONG_S * 1e9, "too few commands reach engines");
+            Thread.sleep(20);
+        }
+    }
+
+    private static Map<String, String> shown(RealFleet fleet, int i, String what) throws Exception {
+        try (ClientStandIn client = new ClientStandIn(new InetSocketAddress("127.0.0.1", fleet.port(i)), 10_000)) {
+            return client.show(what);
+        }
+    }
+
     private static Map<String, String> shown(RealFleet fleet, int i) throws Exception {
         try (ClientStandIn client = new ClientStandIn(new InetSocketAddress("127.0.0.1", fleet.port(i)), 10_000)) {
             return client.show("spread");
--- a/src/test/java/cobaltseam/hall/MessageCodecTest.java
+++ b/src/test/java/cobaltseam/hall/MessageCodecTest.java
@@ -36,6 +36,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
 import cobaltseam.dispatch.Span;
+import cobaltseam.repeats.PurseWord;
 import cobaltseam.sharing.Figures;
 import cobaltseam.sharing.Shared;
 import cobaltseam.sharing.Statement;
@@ -117,6 +118,11 @@
         assertArrayEquals(table.engines(), read.engines());
         assertArrayEquals(table.inHand(), read.inHand());
         assertArrayEquals(table.agesMs(), read.agesMs());
+        PurseWord.Give give = new PurseWord.Give(FROM, 3, new long[] {5, 7}, new long[] {8, 9});
+        PurseWord.Give given = (PurseWord.Give) codec.read(codec.write(give)).message();
+        assertArrayEquals(give.amounts(), given.amounts());
+        assertArrayEquals(give.lastsUs(), given.lastsUs());
+        assertEquals(new PurseWord.Beg(FROM, 3, 4), codec.read(codec.write(new PurseWord.Beg(FROM, 3, 4))).message());
         // As many engines as may be fit one datagram.
         long[] most = new Random(1).longs(Reports.MOST, 0, Long.MAX_VALUE).toArray();
         int[] figures = new Random(2).ints(Reports.MOST, 0, 5000).toArray();
--- a/src/test/java/cobaltseam/setup/SetupReaderTest.java
+++ b/src/test/java/cobaltseam/setup/SetupReaderTest.java
@@ -68,6 +68,10 @@
         assertEquals(new Span(2_000_000), setup.agreed().contradiction());
         assertEquals(new Setup.Spread(false, 0.1, 0.25, new Span(2_000_000), new Span(500_000), new Span(1_000_000), new Span(10_000_000), new Span(100_000), false),
                 setup.spread());
+        assertEquals(new Setup.Repeats(0.3, 1, new Span(10_000_000), new Span(100_000)),
+                SetupReader.read(write(MEMBER + "[repeats]\nratio = 0.3\n")).repeats());
+        assertTrue(wrong("[repeats]\n").contains("it needs [membership]"));
+        assertTrue(wrong(MEMBER + "[repeats]\nround_ms = 600\nwindow_ms = 500\n").contains("shorter than repeats.window_ms"));
         assertTrue(wrong("[spread]\n").contains("it needs [membership]"));
         assertTrue(wrong("[agreement]\n").contains("it needs [membership]"));
         assertTrue(wrong(MEMBER + "[agreement]\ncontradiction_ms = 500\n[spread]\nlease_ms = 500\n").contains("one of the two"));
--- a/src/test/java/cobaltseam/standin/EngineStandIn.java
+++ b/src/test/java/cobaltseam/standin/EngineStandIn.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -40,6 +41,7 @@
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private final AtomicInteger running = new AtomicInteger();
     private final AtomicInteger most = new AtomicInteger();
+    private volatile boolean failing;
 
     /** @param millis how long a command of a profile runs */
     public EngineStandIn(String host, ToLongFunction<String> millis) throws IOException {
@@ -68,6 +70,11 @@
         return most.getAndSet(running.get());
     }
 
+    /** From now on every statement fails at once, after it began; or none does. */
+    public void failing(boolean now) {
+        failing = now;
+    }
+
     public int running() {
         return running.get();
     }
@@ -111,6 +118,15 @@
     private void pull(Map<String, ScheduledFuture<?>> open, OutputStream out, String id, String fields) {
         Ran ran = ledger.computeIfAbsent(id, i -> new Ran(new AtomicInteger(), new AtomicInteger()));
         ran.begun.incrementAndGet();
+        if (failing) {
+            try {
+                say(out, id, "500", "-", "");
+            } catch (IOException e) {
+                // Nobody hears it.
+                ran.done.get();
+            }
+            return;
+        }
         int now = running.incrementAndGet();
         most.accumulateAndGet(now, Math::max);
         String profile = Arrays.stream(fields.split(",")).filter(f -> f.startsWith("lane=")).findFirst().orElse("lane=").substring(5);
@@ -168,8 +184,13 @@
     /** Ends every connection, as a process that dies does. */
     public void reset() throws IOException {
         for (Socket socket : new HashSet<>(sockets)) {
-            socket.setSoLinger(true, 0);
-            socket.close();
+            try {
+                socket.setSoLinger(true, 0);
+                socket.close();
+            } catch (SocketException e) {
+                // The other side closed it just now.
+                sockets.remove(socket);
+            }
         }
     }
 
