--- a/src/main/java/cobaltseam/dispatch/Dispatcher.java
+++ b/src/main/java/cobaltseam/dispatch/Dispatcher.java
@@ -285,10 +285,8 @@
         boolean[] full = new boolean[ways.size()];
         for (Cmd cmd : held) {
             boolean plain = cmd.sends == 0 && cmd.bounds == cmd.way.bounds && !cmd.bounds.inOrder;
-            if (plain && full[cmd.way.index]) {
-                continue;
-            }
-            if (choose(cmd, now) != null) {
+            boolean skipped = plain && full[cmd.way.index];
+            if (!skipped && choose(cmd, now) != null) {
                 return Pause.ask(cmd.command);
             }
             full[cmd.way.index] |= plain;
@@ -715,7 +713,9 @@
             e.coldWork -= Math.max(cmd.way.usualWork, work(cmd));
         }
         sent.grantMb = grant(cmd);
-        return Placement.send(e.id, timeout, priorities ? cmd.way.priority : -1, sent.grantMb);
+        Span startWithin = cmd.mayHaveRunSince == null || cmd.bounds.repeat != Repeat.UNIQUED ? null
+                : cmd.bounds.remembered.minus(now.since(cmd.mayHaveRunSince));
+        return Placement.send(e.id, timeout, priorities ? cmd.way.priority : -1, sent.grantMb, startWithin);
     }
 
     /**
--- a/src/main/java/cobaltseam/postgres/ClientParser.java
+++ b/src/main/java/cobaltseam/postgres/ClientParser.java
@@ -17,7 +17,8 @@
     private static final int FIRST_ROOM = 512;
 
     private byte[] held = new byte[FIRST_ROOM];
-    private int length;
+    /** Read by other threads too, as a hint. */
+    private volatile int length;
     private boolean started;
     private boolean broken;
 
@@ -30,6 +31,11 @@
         return broken;
     }
 
+    /** Whether part of a message has come and the rest has not; from any thread, as it was lately. */
+    public boolean isInMessage() {
+        return length > 0;
+    }
+
     /** Takes nothing more, and says why. */
     public void refuse(String reason, Consumer<ClientMessage> messages) {
         if (!broken) {
--- a/src/main/java/cobaltseam/service/Clients.java
+++ b/src/main/java/cobaltseam/service/Clients.java
@@ -29,6 +29,7 @@
 import cobaltseam.resp.Result;
 import cobaltseam.service.Counters.Count;
 import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.future.WriteFuture;
 import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.session.IoSession;
 
@@ -48,6 +49,11 @@
     private static final int COLUMNS = 3;
     /** What is written last gets this long to be read before its connection is closed. */
     private static final Span CLOSE_WITHIN = new Span(1_000_000);
+    /** A connection whose output has ended is closed at once when more than this still comes on it. */
+    private static final int MOST_DISCARDED = 1 << 18;
+    /** Of the connections that clients may hold, at most this part may await the other side's close. */
+    private static final int ENDING_PART = 8;
+    private static final String SHUTS_DOWN = "this dispatcher shuts down, trying again elsewhere is harmless";
     /** A client that has asked nothing whole by then holds a connection for nothing. */
     private static final Span ASK_WITHIN = new Span(2_000_000);
     private static final String SHOW = "show cobaltseam.";
@@ -76,6 +82,14 @@
         int secret;
         /** When it is closed, if nothing else comes before. */
         Deadlines.Deadline closeAt;
+        /** Whether its output has ended: what still comes is discarded. */
+        volatile boolean ending;
+        /** Bytes that have come on it, counted round and round. */
+        volatile int received;
+        /** Bytes discarded since its output ended; the I/O thread's own. */
+        int discarded;
+        /** The last write to it; null until there is one. */
+        WriteFuture lastWrite;
         boolean started;
         boolean skipping;
         /** Whether something is to be done before the next message: a statement, or a rest after a bad one. */
@@ -107,6 +121,11 @@
         public void failed() {
             finish(this, new Replies().error("ERROR", Replies.FAILED, "failed"));
         }
+
+        @Override
+        public boolean hasLeft() {
+            return session.isClosing();
+        }
     }
 
     /** One message, and when its last byte was read. */
@@ -145,6 +164,12 @@
     private final Set<Client> resting = new LinkedHashSet<>();
     /** Clients that are to be closed unless they have spoken. */
     private int leaving;
+    /** Clients whose output has ended and that have not closed yet, the first to end first. */
+    private final Set<Client> ending = new LinkedHashSet<>();
+    /** Whether this dispatcher shuts down: nothing new is taken. */
+    private boolean shutsDown;
+    /** Whether a shutdown has waited long enough for clients that go on speaking. */
+    private boolean shutsDownNow;
     /** Whether traffic is taken at an address of ours; null where nothing can stand by. */
     private Gate gate;
     private final Map<String, Supplier<List<String[]>>> shown = new HashMap<>();
@@ -190,7 +215,12 @@
     @Override
     public void messageReceived(IoSession session, Object message) {
         Client client = (Client) session.getAttribute(CLIENT);
+        if (client.ending || client.parser.isBroken()) {
+            discard(client, ((IoBuffer) message).remaining());
+            return;
+        }
         Moment read = clock.now();
+        client.received += ((IoBuffer) message).remaining();
         client.parser.take(((IoBuffer) message).buf(), m -> handOver(client, m, read));
         holds(client, client.parser.held());
         if (client.flooding) {
@@ -198,8 +228,13 @@
         } else if (held.get() > mostHeld && client.parser.held() > LITTLE) {
             refuse(client, "too much is held for all clients", read);
         }
-        if (client.parser.isBroken()) {
-            session.suspendRead();
+    }
+
+    /** Reads on without keeping anything, so that the close resets nothing; a flood is cut off all the same. */
+    private void discard(Client client, int bytes) {
+        client.discarded += bytes;
+        if (client.discarded > MOST_DISCARDED) {
+            client.session.closeNow();
         }
     }
 
@@ -213,10 +248,17 @@
         Heard heard = new Heard(message, read);
         client.spoken++;
         held.addAndGet(heard.size());
-        inbox.post(client.session, () -> {
+        Runnable handsOver = () -> inbox.post(client.session, () -> {
             client.unheard.decrementAndGet();
             heard(client, heard);
         });
+        if (message instanceof ClientMessage.Cancel) {
+            // The statement that it names was written before it, on another connection, and is to be heard first.
+            sockets.afterReading(handsOver);
+        } else {
+            // Not at once: a client whose end is read right behind its statement has gone, perhaps long ago.
+            sockets.atRoundEnd(handsOver);
+        }
     }
 
     /** Takes nothing more from a client: its connection is closed once this is heard. */
@@ -236,6 +278,7 @@
         holds(client, 0);
         inbox.post(null, () -> {
             closed(client);
+            ending.remove(client);
             deadlines.cancel(client.closeAt);
         });
     }
@@ -262,14 +305,24 @@
         client.secret = secrets.nextInt();
         unasked.add(client);
         askSoon(client);
+        // One that comes during a shutdown is heard first: it may bring a cancel request.
+        client.going = shutsDown;
         if (gate != null && !gate.stays(client.session.getLocalAddress())) {
             client.going = true;
             goIfIdle(client);
         }
     }
 
+    /** Closes a client that says nothing; one that writes slowly may go on while more comes. */
     private void askSoon(Client client) {
-        client.closeAt = deadlines.set(clock.now().plus(ASK_WITHIN), () -> leave(client));
+        int received = client.received;
+        client.closeAt = deadlines.set(clock.now().plus(ASK_WITHIN), () -> {
+            if (client.received != received && client.parser.isInMessage()) {
+                askSoon(client);
+            } else {
+                leave(client);
+            }
+        });
     }
 
     /**
@@ -297,12 +350,13 @@
         leaving++;
         idle(client, false);
         int spoken = client.spoken - client.unheard.get();
+        WriteFuture last = client.lastWrite;
         sockets.afterReading(() -> {
             boolean silent = client.spoken == spoken;
-            if (silent && client.going) {
-                client.session.closeOnFlush();
-            } else if (silent) {
-                client.session.closeNow();
+            if (silent) {
+                // Here and now: what comes from now on is discarded, and its sender has to see the end soon after it.
+                client.ending = true;
+                sockets.endOutputHere(client.session, last);
             }
             inbox.post(client.session, () -> left(client, silent));
         });
@@ -313,11 +367,7 @@
             leaving--;
             client.leaving = false;
             if (silent) {
-                closed(client);
-                if (client.going) {
-                    // What was answered last gets as long to be read as on any other close.
-                    client.closeAt = deadlines.set(clock.now().plus(CLOSE_WITHIN), client.session::closeNow);
-                }
+                close(client);
             } else if (!client.busy) {
                 idle(client, true);
             }
@@ -403,11 +453,14 @@
 
     private void take(Client client, Heard heard) {
         ClientMessage message = heard.message();
-        if (message instanceof ClientMessage.Startup) {
+        if (message instanceof ClientMessage.Startup && shutsDown) {
+            write(client, new Replies().error("FATAL", Replies.STANDS_BY, SHUTS_DOWN));
+            close(client);
+        } else if (message instanceof ClientMessage.Startup) {
             client.started = true;
             write(client, new Replies().welcome((int) client.key, client.secret));
         } else if (message instanceof ClientMessage.EncryptionRequest) {
-            client.session.write(IoBuffer.wrap(new byte[] {'N'}));
+            client.lastWrite = client.session.write(IoBuffer.wrap(new byte[] {'N'}));
         } else if (message instanceof ClientMessage.Cancel cancel) {
             cancel(cancel);
             client.session.closeNow();
@@ -443,11 +496,24 @@
         close(client);
     }
 
-    /** Closes a connection once what was written is out, or soon. */
+    /**
+     * Ends the output once what was written is out; the connection is closed when the other side has closed it, or
+     * soon. Until then what comes is discarded: unread bytes would make the close a reset.
+     */
     private void close(Client client) {
         closed(client);
-        client.session.closeOnFlush();
+        client.ending = true;
+        sockets.endOutput(client.session, client.lastWrite);
+        if (client.session.isClosing()) {
+            return;
+        }
         client.closeAt = deadlines.set(clock.now().plus(CLOSE_WITHIN), client.session::closeNow);
+        ending.add(client);
+        if (ending.size() > Math.max(1, most / ENDING_PART)) {
+            Client first = ending.iterator().next();
+            ending.remove(first);
+            first.session.closeNow();
+        }
     }
 
     /** Nothing more is owed for the statement of the session that this names. */
@@ -482,6 +548,11 @@
             write(client, replies.complete("SHOW").ready());
             return;
         }
+        if (shutsDown) {
+            counters.add(Count.STATEMENTS_AFTER_SHUTDOWN);
+            write(client, new Replies().error("ERROR", Replies.STANDS_BY, SHUTS_DOWN).ready());
+            return;
+        }
         if (gate != null && !gate.admits(client.session.getLocalAddress())) {
             counters.add(Count.MASTERSHIP_TURNED_AWAY);
             write(client, new Replies().error("ERROR", Replies.STANDS_BY, "another dispatcher is active here, trying "
@@ -553,10 +624,38 @@
 
     private void goIfIdle(Client client) {
         if (client.going && !client.busy && client.waiting.isEmpty() && slots.get(client.key) == client) {
-            leave(client);
+            if (shutsDownNow) {
+                close(client);
+            } else if (!shutsDown || !client.parser.isInMessage()) {
+                leave(client);
+            }
         }
     }
 
+    // ---- shutdown
+
+    /**
+     * Takes nothing more: what is in hand is still answered, a statement that comes is refused at once, and each
+     * connection is ended once nothing is owed on it. One that is in the middle of a message may finish it.
+     */
+    void shutDown() {
+        shutsDown = true;
+        slots.forEach(client -> client.going = true);
+        endIdle();
+        deadlines.set(clock.now().plus(CLOSE_WITHIN), this::shutDownNow);
+    }
+
+    /** Ends each connection that is to go and on which nothing is owed. */
+    void endIdle() {
+        slots.forEach(this::goIfIdle);
+    }
+
+    /** Waits no longer for clients that go on speaking; those that are owed an answer still get it. */
+    private void shutDownNow() {
+        shutsDownNow = true;
+        endIdle();
+    }
+
     private void unusable(Client client, String why) {
         counters.add(Count.STATEMENTS_UNUSABLE);
         log.warn("client {0}: {1}", Field.of("client", client.session.getRemoteAddress()), Field.of("reason", why),
@@ -618,13 +717,6 @@
             closed(client);
             return;
         }
-        client.session.write(IoBuffer.wrap(replies.bytes()));
-    }
-
-    /** Whether all that was written has gone out. */
-    boolean allWritten() {
-        boolean[] all = {true};
-        slots.forEach(c -> all[0] &= c.session.getScheduledWriteBytes() == 0);
-        return all[0];
+        client.lastWrite = client.session.write(IoBuffer.wrap(replies.bytes()));
     }
 }
--- a/src/main/java/cobaltseam/service/Commands.java
+++ b/src/main/java/cobaltseam/service/Commands.java
@@ -3,6 +3,7 @@
 import java.lang.System.Logger.Level;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
@@ -35,6 +36,9 @@
         void shed(Span comeBack);
 
         void failed();
+
+        /** Whether nobody waits any more, as far as the I/O thread has read; this may run ahead of {@link #departed}. */
+        boolean hasLeft();
     }
 
     private static final System.Logger LOG = System.getLogger(Commands.class.getName());
@@ -157,6 +161,17 @@
         }
     }
 
+    /** Gives up all that is in hand: nothing more is sent, what is out is called off, and each has its final answer. */
+    void giveUp() {
+        for (InHand c : List.copyOf(byId.values())) {
+            dispatcher.withdrawn(c.id, clock.now());
+            if (c.out != null) {
+                engines.callOff(c.out);
+            }
+        }
+        news = true;
+    }
+
     /** Whether nobody waits for an answer. */
     boolean isEmpty() {
         return byId.isEmpty();
@@ -203,10 +218,19 @@
                 read.plus(new Span(s.timeToLiveMs() * US_PER_MS)),
                 new Span(Math.round(s.workMs() * US_PER_MS)),
                 s.dataSet() < 0 ? null : new DataSetId(s.dataSet()), s.memoryMb());
-        carryOut(c, () -> dispatcher.place(command, clock.now()));
+        place(c, command);
         news = true;
     }
 
+    /** Asks the module where a command goes, unless its client has left: nothing is begun for one that is gone. */
+    private void place(InHand c, Command command) {
+        if (c.asker != null && c.asker.hasLeft()) {
+            departed(c.key);
+        } else {
+            carryOut(c, () -> dispatcher.place(command, clock.now()));
+        }
+    }
+
     /** Nobody waits for this command any more. */
     void departed(long key) {
         InHand c = slots.get(key);
@@ -305,8 +329,7 @@
             } else if (pause.command() != null && c == null) {
                 dispatcher.departed(pause.command().id(), now);
             } else if (pause.command() != null) {
-                Command command = pause.command();
-                carryOut(c, () -> dispatcher.place(command, clock.now()));
+                place(c, pause.command());
             } else if (pause.probe() != null) {
                 engines.probe(pause.probe(), now);
             }
@@ -338,7 +361,7 @@
         }
         switch (p.verdict()) {
             case SEND -> c.out = maySend.getAsBoolean() && isWithinCap(c)
-                    ? engines.send(c.id, c.sends++, p.engine(), c.statement, p.sendTimeout(), clock.now())
+                    ? engines.send(c.id, c.sends++, p, c.statement, clock.now())
                     : engines.neverSend(c.id, c.sends++, p.engine(), c.statement, clock.now());
             case SHED -> {
                 denied(c);
--- a/src/main/java/cobaltseam/service/Door.java
+++ b/src/main/java/cobaltseam/service/Door.java
@@ -41,6 +41,13 @@
         return session;
     }
 
+    /** Clients' connections that are open, whether or not anything was read from them yet. */
+    int open() {
+        synchronized (changed) {
+            return open;
+        }
+    }
+
     /** How often one was not accepted at once. */
     int waits() {
         synchronized (changed) {
--- a/src/main/java/cobaltseam/service/EngineConnection.java
+++ b/src/main/java/cobaltseam/service/EngineConnection.java
@@ -14,6 +14,8 @@
 final class EngineConnection {
     /** Ids of ended sends that are remembered, so that late answers are known. */
     private static final int REMEMBERED = 256;
+    /** Answers that nobody asked for which an engine may write between two sends on one connection. */
+    private static final int MOST_UNASKED = 256;
     /** What may wait to be written before no more is sent this way. */
     private static final int MOST_WAITING = 1 << 18;
 
@@ -36,6 +38,7 @@
     Moment heard;
     Moment idleSince;
     private long written;
+    private int unasked;
 
     EngineConnection(EngineId engine, Moment opened) {
         this.engine = engine;
@@ -47,9 +50,15 @@
     /** Writes and counts; the count at which this has gone out whole. */
     long write(byte[] bytes) {
         session.write(IoBuffer.wrap(bytes));
+        unasked = 0;
         return ++written;
     }
 
+    /** Counts an answer that nobody asked for; whether there are so many that they seem to have no end. */
+    boolean isFlooded() {
+        return ++unasked > MOST_UNASKED;
+    }
+
     /** Whether a further send of this id may go this way: each id only once, or its answers were mixed up. */
     boolean takes(String id, int most) {
         return sends.size() < most && !sends.containsKey(id) && !ended.containsKey(id)
--- a/src/main/java/cobaltseam/service/Engines.java
+++ b/src/main/java/cobaltseam/service/Engines.java
@@ -6,7 +6,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
 
 import cobaltseam.deployment.DeploymentReader;
 import cobaltseam.dispatch.CommandId;
@@ -14,6 +16,7 @@
 import cobaltseam.dispatch.Listing;
 import cobaltseam.dispatch.Moment;
 import cobaltseam.dispatch.Outcome.Ending;
+import cobaltseam.dispatch.Placement;
 import cobaltseam.dispatch.Span;
 import cobaltseam.log.Field;
 import cobaltseam.postgres.Statement;
@@ -57,6 +60,8 @@
     private static final class Machine {
         InetSocketAddress address;
         Listing.Standing standing;
+        /** When its process started, as the list has it. */
+        Moment started;
         /** Whether the last connection to it, or send on one, did not come to anything. */
         boolean failed;
         final List<EngineConnection> connections = new ArrayList<>();
@@ -146,11 +151,15 @@
 
     void listed(Roster roster) {
         if (roster.whole()) {
-            machines.values().forEach(m -> m.standing = Listing.Standing.GONE);
+            Set<EngineId> named = roster.list().stream().map(Listing::engine).collect(Collectors.toSet());
+            machines.forEach((engine, machine) -> machine.standing =
+                    named.contains(engine) ? machine.standing : Listing.Standing.GONE);
         }
         for (Listing line : roster.list()) {
             Machine machine = machines.computeIfAbsent(line.engine(), e -> new Machine());
+            boolean changed = line.standing() != machine.standing || !line.started().equals(machine.started);
             machine.standing = line.standing();
+            machine.started = line.started();
             InetSocketAddress address = roster.addresses().get(line.engine());
             if (address != null) {
                 machine.address = address;
@@ -159,12 +168,16 @@
             for (EngineConnection c : List.copyOf(machine.connections)) {
                 if (line.standing() == Listing.Standing.UP && c.opened.before(line.started())) {
                     drop(c);
+                } else if (changed && c.session == null) {
+                    // What waits for it was decided on when the engine was not draining, or not cold.
+                    drop(c);
                 }
             }
         }
         for (Machine machine : List.copyOf(machines.values())) {
             if (machine.standing == Listing.Standing.GONE) {
-                List.copyOf(machine.connections).stream().filter(c -> c.sends.isEmpty()).forEach(this::drop);
+                List.copyOf(machine.connections).stream().filter(c -> c.sends.isEmpty() || c.session == null)
+                        .forEach(this::drop);
             }
         }
         machines.values().removeIf(m -> m.standing == Listing.Standing.GONE && m.connections.isEmpty());
@@ -173,8 +186,10 @@
     // ---- sends
 
     /** Hands a command to an engine; the listener hears of its one outcome later, never at once. */
-    Send send(CommandId command, int number, EngineId engine, Statement statement, Span timeout, Moment now) {
-        Send send = new Send(command, number, engine, statement, now, now.plus(timeout));
+    Send send(CommandId command, int number, Placement placement, Statement statement, Moment now) {
+        EngineId engine = placement.engine();
+        Send send = new Send(command, number, engine, statement, now, now.plus(placement.sendTimeout()));
+        send.startBy = placement.startWithin() == null ? null : now.plus(placement.startWithin());
         counters.add(Count.SENDS);
         Machine machine = machines.get(engine);
         EngineConnection connection = machine == null || machine.address == null ? null
@@ -274,7 +289,12 @@
             Moment now = clock.now();
             c.heard = now;
             for (Send send : List.copyOf(c.sends.values())) {
-                write(send, now);
+                if (send.startBy == null || now.before(send.startBy)) {
+                    write(send, now);
+                } else {
+                    // It waited too long for this connection: what engines remember of the send before may be gone.
+                    end(send, Ending.UNREACHABLE);
+                }
             }
         }
     }
@@ -461,6 +481,9 @@
             counters.add(Count.UNKNOWN_ANSWERS);
             log.warn("engine {0}: an answer for unknown id {1}", Field.of("engine", Long.toHexString(c.engine.value())),
                     Field.of("command", answer.id()), Field.event("engine.unknown_answer"));
+            if (c.isFlooded()) {
+                protocolError(c, "answers without end that nobody asked for");
+            }
             return;
         }
         counters.add(Count.LATE_ANSWERS);
--- a/src/main/java/cobaltseam/service/EventBus.java
+++ b/src/main/java/cobaltseam/service/EventBus.java
@@ -44,6 +44,8 @@
     private final JsonFactory json = new JsonFactory();
     private long last;
     private long askedAnewFrom = -1;
+    /** Whether the last number heard on this connection lay beyond the last event. */
+    private boolean behind;
     /** Counts connections; what an earlier one still says is passed over. */
     private long life;
     private ConnectFuture future;
@@ -178,6 +180,7 @@
 
     private void leave() {
         life++;
+        behind = false;
         deadlines.cancel(next);
         if (future.isConnected()) {
             future.getSession().closeNow();
@@ -206,10 +209,16 @@
         }
     }
 
-    /** The number of the last event, alone: all up to it should have come. */
+    /**
+     * The number of the last event, alone: all up to it should have come. One more beat is waited for where events were
+     * asked for anew, as the number may overtake them: passed over, a drain among them would never be heard.
+     */
     private void number(long mine, long number) {
-        if (number > last && !missing(mine)) {
+        boolean again = behind;
+        behind = number > last;
+        if (behind && !missing(mine) && again) {
             last = number;
+            behind = false;
         }
     }
 
@@ -219,10 +228,13 @@
             event = Fields.of(parser);
         }
         long offset = event.whole(Roster.OFFSET);
-        if (offset <= last || offset > last + 1 && missing(mine)) {
+        boolean whole = event.has(Roster.EVENT) && event.object(Roster.EVENT).flag(Roster.WHOLE);
+        // A whole list makes up for what is missing before it.
+        if (offset <= last || offset > last + 1 && !whole && missing(mine)) {
             return;
         }
         last = offset;
+        behind = false;
         counters.add(Count.BUS_EVENTS);
         if (event.has(Roster.EVENT)) {
             listener.accept(Roster.of(event));
--- a/src/main/java/cobaltseam/service/Roster.java
+++ b/src/main/java/cobaltseam/service/Roster.java
@@ -20,6 +20,7 @@
 record Roster(long offset, boolean whole, List<Listing> list, Map<EngineId, InetSocketAddress> addresses) {
     static final String EVENT = "topology";
     static final String OFFSET = "offset";
+    static final String WHOLE = "all";
     private static final int HEX = 16;
     private static final long US_PER_MS = 1000;
     private static final long FNV_BASIS = 0xcbf29ce484222325L;
@@ -38,7 +39,7 @@
                 addresses.put(engine, Installation.address(target.text("endpoint")));
             }
         }
-        return new Roster(event.whole(OFFSET, 0), told.flag("all"), list, addresses);
+        return new Roster(event.whole(OFFSET, 0), told.flag(WHOLE), list, addresses);
     }
 
     private static Listing.Standing standing(String state) {
--- a/src/main/java/cobaltseam/service/Send.java
+++ b/src/main/java/cobaltseam/service/Send.java
@@ -14,6 +14,8 @@
     final Statement statement;
     final Moment at;
     final Moment until;
+    /** It must not begin later than this; null if it may begin at any time. */
+    Moment startBy;
     Deadlines.Deadline timeout;
     EngineConnection connection;
     /** Its place among what was written to its connection; zero while it is not. */
--- a/src/main/java/cobaltseam/service/Service.java
+++ b/src/main/java/cobaltseam/service/Service.java
@@ -32,8 +32,13 @@
     private static final System.Logger LOG = System.getLogger(Service.class.getName());
     /** New connections and commands may still come for this long after a stop is asked for. */
     private static final Span STOP_AFTER = new Span(700_000);
-    /** What was written last gets this long to go out. */
-    private static final Span FLUSH_WITHIN = new Span(200_000);
+    /**
+     * What is still in hand this long after nothing more is taken is given up while there is time to say so: the
+     * platform may kill a process 3 s after {@link #STOP_AFTER}.
+     */
+    private static final Span GIVE_UP_AFTER = new Span(2_700_000);
+    /** A shutdown waits this long at most for clients to close, once nothing is owed to any. */
+    private static final Span LEAVE_WITHIN = new Span(2_500_000);
     private static final Span LONGEST_WAIT = new Span(1_000_000);
     private static final String HANG_UP = "HUP";
     private static final int MOST_AT_ONCE = 1024;
@@ -57,7 +62,7 @@
     private final CountDownLatch ended = new CountDownLatch(1);
     private final ExecutorService threads = Executors.newCachedThreadPool(Service::thread);
     /** One for both sides: the process has one core. */
-    private final Sockets processor = new Sockets(threads);
+    final Sockets processor = new Sockets(threads);
     final Door acceptor;
     private final NioSocketConnector toEngines = new NioSocketConnector(threads, processor);
     private final NioSocketConnector toBus = new NioSocketConnector(threads, processor);
@@ -65,7 +70,10 @@
     private final Commands commands;
     private final Clients clients;
     private final EventBus bus;
-    private Moment leaveFrom;
+    /** Whether it takes nothing more. */
+    private boolean leaves;
+    /** When it ends at the latest; null until it takes nothing more and nothing is open. */
+    private Moment leaveBy;
 
     Service(Installation told) {
         this.told = told;
@@ -79,6 +87,8 @@
         tune(toBus.getSessionConfig());
         tune(acceptor.getSessionConfig());
         acceptor.setReuseAddress(true);
+        // Or what is in hand would be cut when the last listener closes.
+        acceptor.setCloseOnDeactivation(false);
         acceptor.setBacklog(BACKLOG);
         acceptor.setHandler(clients);
     }
@@ -253,8 +263,6 @@
     }
 
     void joins(Setup.Hall with, Supplier<Hall.Report> fitness) {
-        // Or what is in hand would be cut when the last listener closes.
-        acceptor.setCloseOnDeactivation(false);
         hall = new Hall(with, told, fitness, commands, clients, acceptor, inbox, clock, deadlines, counters);
     }
 
@@ -277,7 +285,7 @@
 
     /** Runs what is handed over and what is due, until it is to stop and nothing is open. */
     void loop() throws InterruptedException {
-        while (leaveFrom == null || clock.now().before(leaveFrom) || !commands.isEmpty()) {
+        while (!isOver()) {
             // All that has come is heard before a deadline acts on what has not, or is decided on: a process
             // that was held up would else give up sends whose answers lie here.
             Runnable task = inbox.next(deadlines.untilNext(clock.now(), LONGEST_WAIT));
@@ -296,13 +304,24 @@
             }
             commands.follow();
         }
-        Moment until = clock.now().plus(FLUSH_WITHIN);
-        while (!clients.allWritten() && clock.now().before(until)) {
-            Thread.sleep(1);
-        }
         ended.countDown();
     }
 
+    /** Whether it was asked to stop, nothing is open, and its clients have gone or had long enough to go. */
+    private boolean isOver() {
+        if (!leaves || !commands.isEmpty()) {
+            return false;
+        }
+        if (leaveBy == null) {
+            // Not before: while a request is in hand, its cancel request may come on a new connection.
+            acceptor.unbind();
+            clients.endIdle();
+            leaveBy = clock.now().plus(LEAVE_WITHIN);
+            deadlines.set(leaveBy, () -> { });
+        }
+        return acceptor.open() == 0 || !clock.now().before(leaveBy);
+    }
+
     /** Before anything is heard or decided: what a process that stood still has to know first. */
     private void look() {
         if (hall != null) {
@@ -320,7 +339,16 @@
 
     /** Asks the loop to end once nothing is open. */
     void end() {
-        inbox.post(null, () -> leaveFrom = clock.now());
+        inbox.post(null, () -> leave(Span.ZERO));
+    }
+
+    /** Takes nothing more after this span, and ends once nothing is open. */
+    private void leave(Span after) {
+        deadlines.set(clock.now().plus(after), () -> {
+            leaves = true;
+            clients.shutDown();
+        });
+        deadlines.set(clock.now().plus(after).plus(GIVE_UP_AFTER), commands::giveUp);
     }
 
     /** Asks the loop to end: it goes on serving until nothing is open. Returns when it has ended. */
@@ -332,8 +360,7 @@
             if (members != null) {
                 members.leave();
             }
-            leaveFrom = clock.now().plus(STOP_AFTER);
-            deadlines.set(leaveFrom, () -> { });
+            leave(STOP_AFTER);
         });
         try {
             ended.await();
--- /dev/null
+++ b/src/test/java/cobaltseam/service/DepartureOrderTest.java
@@ -0,0 +1,141 @@
+package cobaltseam.service;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+
+import org.junit.jupiter.api.Test;
+
+/** Clients that close or cancel at each step of their request: nothing begins for one that has gone. */
+class DepartureOrderTest extends ServiceRig {
+    private static final int PAIRS = 8;
+    /** Threads that one engine of these tests is given. */
+    private static final int ROOM = 8;
+
+    /** Its end lies right behind its statement, and both are read at once, however long ago they were written. */
+    @Test
+    void aStatementWithTheEndRightBehindItIsNotSentOn() throws Exception {
+        start(new Peer(true));
+        Client watch = new Client();
+        Client leaver = new Client();
+        CountDownLatch held = holdUpSockets();
+        leaver.query(leaver.out, look(1, 10_000));
+        leaver.close();
+        held.countDown();
+        await(watch, "clients_closed|1");
+        assertTrue(watch.ask("SHOW cobaltseam.counters").contains("sends|0"));
+    }
+
+    /** The thread that decides is late: by the time it hears the statement, the end has been read as well. */
+    @Test
+    void aStatementHeardLateFromAClientThatHasGoneIsNotSentOn() throws Exception {
+        start(new Peer(true));
+        Client watch = new Client();
+        Client leaver = new Client();
+        CountDownLatch held = holdUp();
+        leaver.query(leaver.out, look(1, 10_000));
+        awaitRead();
+        leaver.close();
+        awaitRead();
+        held.countDown();
+        await(watch, "clients_closed|1");
+        assertTrue(watch.ask("SHOW cobaltseam.counters").contains("sends|0"));
+    }
+
+    /** Held for want of room, and left: when room comes, it goes to who still waits. */
+    @Test
+    void whatIsHeldForAClientThatHasGoneIsNeverSent() throws Exception {
+        Peer engine = new Peer(true);
+        start(engine);
+        List<Message> out = new ArrayList<>();
+        List<Client> busy = new ArrayList<>();
+        for (int i = 0; i < ROOM; i++) {
+            busy.add(new Client(command("once", i, 20_000)));
+            out.add(engine.next("PULL"));
+        }
+        Client watch = new Client();
+        Client leaver = new Client(command("once", 20, 20_000));
+        await(watch, "commands_taken|9");
+        Client stays = new Client(command("once", 21, 20_000));
+        await(watch, "commands_taken|10");
+        leaver.close();
+        await(watch, "commands_departed|1");
+        out.get(0).answer(out.get(0).id(), "200", "pages=1", ROWS);
+        Message next = engine.next("PULL");
+        assertEquals("%016x".formatted(21), next.id());
+        next.answer(next.id(), "200", "pages=1", ROWS);
+        assertEquals("SELECT 2", stays.told().get(2));
+    }
+
+    /** Room comes in the same turn as the end of the client that is next in line. */
+    @Test
+    void roomThatComesWithTheEndOfTheNextInLineGoesToTheOneBehindIt() throws Exception {
+        Peer engine = new Peer(true);
+        start(engine);
+        List<Message> out = new ArrayList<>();
+        for (int i = 0; i < ROOM; i++) {
+            new Client(command("once", i, 20_000));
+            out.add(engine.next("PULL"));
+        }
+        Client watch = new Client();
+        Client leaver = new Client(command("once", 20, 20_000));
+        await(watch, "commands_taken|9");
+        new Client(command("once", 21, 20_000));
+        await(watch, "commands_taken|10");
+        CountDownLatch held = holdUp();
+        out.get(0).answer(out.get(0).id(), "200", "pages=1", ROWS);
+        awaitRead();
+        leaver.close();
+        awaitRead();
+        held.countDown();
+        assertEquals("%016x".formatted(21), engine.next("PULL").id());
+    }
+
+    /** A cancel request read together with its statement, on another connection, is not passed over for coming first. */
+    @Test
+    void aCancelRequestIsHeardAfterTheStatementThatItNames() throws Exception {
+        start(new Peer(true));
+        Client watch = new Client();
+        List<Client> clients = new ArrayList<>();
+        List<Socket> cancels = new ArrayList<>();
+        for (int i = 0; i < PAIRS; i++) {
+            cancels.add(new Socket(service.address().getAddress(), service.address().getPort()));
+            clients.add(new Client());
+        }
+        awaitRead();
+        CountDownLatch held = holdUpSockets();
+        for (int i = 0; i < PAIRS; i++) {
+            Client client = clients.get(i);
+            client.query(client.out, command("once", i, 20_000));
+            cancels.get(i).getOutputStream().write(client.cancelRequest());
+        }
+        held.countDown();
+        await(watch, "commands_departed|" + PAIRS);
+        for (Socket each : cancels) {
+            each.close();
+        }
+    }
+
+    /** It had asked nothing whole yet when it would be closed for silence, but is still writing. */
+    @Test
+    void aClientThatWritesSlowlyIsNotClosedForSilence() throws Exception {
+        Peer engine = new Peer(true);
+        start(engine);
+        Client slow = new Client();
+        byte[] statement = message(look(1, 10_000));
+        int pieces = 8;
+        for (int i = 0; i < pieces; i++) {
+            // The pace is the subject: the whole takes longer than a silent client may keep its connection.
+            Thread.sleep(400);
+            int from = statement.length * i / pieces;
+            slow.out.write(statement, from, statement.length * (i + 1) / pieces - from);
+        }
+        Message pull = engine.next("PULL");
+        pull.answer(pull.id(), "200", "pages=1", ROWS);
+        assertEquals("SELECT 2", slow.told().get(2));
+    }
+}
--- /dev/null
+++ b/src/test/java/cobaltseam/service/ListWatchOrderTest.java
@@ -0,0 +1,97 @@
+package cobaltseam.service;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** The watch on the list of engines, when it is silent, behind, or told in another order. */
+class ListWatchOrderTest extends ServiceRig {
+    private final String drained = "terminating";
+
+    private void assertGoesTo(Peer expected, Peer other) throws Exception {
+        Client client = new Client(command("once", 1, 5000));
+        Message pull = expected.next("PULL");
+        assertTrue(other.heard.isEmpty(), "the drained engine was sent to");
+        pull.answer(pull.id(), "200", "pages=1", ROWS);
+        assertEquals("SELECT 2", client.told().get(2));
+    }
+
+    /** Passed over for a number that overtook it, a drain would never be heard of. */
+    @Test
+    void aNumberThatComesBeforeTheEventsThatWereAskedForAnewSkipsNone() throws Exception {
+        Peer one = new Peer(true);
+        Peer two = new Peer(true);
+        Peer bus = start(one, two);
+        bus.next("from 7").say("9\n");
+        bus.next("closed");
+        Message anew = bus.next("from 7");
+        anew.say("9\n" + event(8, false, target(2, two.address(), drained)) + "\n" + event(9, false) + "\n");
+        await(new Client(), "bus_events|2");
+        assertGoesTo(one, two);
+    }
+
+    /** What can't be had is given up all the same, or one event that is lost for good would hold up all others. */
+    @Test
+    void aNumberThatIsRepeatedWithoutItsEventIsTaken() throws Exception {
+        Peer one = new Peer(true);
+        Peer two = new Peer(true);
+        Peer bus = start(one, two);
+        bus.next("from 7").say("8\n");
+        bus.next("closed");
+        bus.next("from 7").say("8\n8\n" + event(9, false, target(2, two.address(), drained)) + "\n");
+        await(new Client(), "bus_events|1");
+        assertGoesTo(one, two);
+    }
+
+    @Test
+    void aWatchThatIsSilentFromTheFirstMomentIsAskedAnew() throws Exception {
+        Peer one = new Peer(true);
+        Peer two = new Peer(true);
+        Peer bus = start(one, two);
+        bus.next("from 7");
+        bus.next("closed");
+        bus.next("from 7").say(event(8, false, target(2, two.address(), drained)) + "\n");
+        await(new Client(), "bus_events|1");
+        assertGoesTo(one, two);
+    }
+
+    /** The beat goes on for a while, and then nothing comes: what drains in that silence is asked for. */
+    @Test
+    void aWatchThatFallsSilentLaterIsAskedAnewFromTheLastEvent() throws Exception {
+        Peer one = new Peer(true);
+        Peer two = new Peer(true);
+        Peer bus = start(one, two);
+        bus.next("from 7").say("7\n" + event(8, false) + "\n8\n");
+        bus.next("closed");
+        bus.next("from 8").say(event(9, false, target(2, two.address(), drained)) + "\n");
+        await(new Client(), "bus_events|2");
+        assertGoesTo(one, two);
+    }
+
+    /** It holds all that is so: what came before it is not missing. */
+    @Test
+    void aWholeListIsTakenThoughEventsBeforeItNeverCame() throws Exception {
+        Peer one = new Peer(true);
+        Peer two = new Peer(true);
+        Peer bus = start(one, two);
+        Message from = bus.next("from 7");
+        from.say(event(12, true, target(1, one.address(), "in_service")) + "\n");
+        Client watch = new Client();
+        await(watch, "bus_events|1");
+        assertTrue(watch.ask("SHOW cobaltseam.counters").contains("bus_gaps|0"));
+        assertGoesTo(one, two);
+    }
+
+    /** Told twice or late, an older change does not undo a newer one. */
+    @Test
+    void aChangeOlderThanWhatIsKnownChangesNothing() throws Exception {
+        Peer one = new Peer(true);
+        Peer two = new Peer(true);
+        Peer bus = start(one, two);
+        bus.next("from 7").say(event(8, false, target(2, two.address(), drained)) + "\n"
+                + event(6, false, target(2, two.address(), "in_service")) + "\n" + event(9, false) + "\n");
+        await(new Client(), "bus_events|2");
+        assertGoesTo(one, two);
+    }
+}
--- a/src/test/java/cobaltseam/service/ServiceTest.java
+++ b/src/test/java/cobaltseam/service/ServiceTest.java
@@ -2,320 +2,45 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
-import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
 import cobaltseam.deployment.BadInput;
-import cobaltseam.deployment.Fields;
 import cobaltseam.dispatch.Moment;
 import cobaltseam.dispatch.Span;
-import com.fasterxml.jackson.core.JsonFactory;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import sun.misc.Signal;
 
 /** The service between clients, engines and a bus that these tests play themselves, on loopback. */
-class ServiceTest {
-    private static final int SOON_S = 10;
-    private static final int SOCKETS = 256;
-    private static final int IDLE_MS = 30_000;
-    private static final String ROWS = "a\t1\tx\nb\t2\ty\n";
-
-    private final List<AutoCloseable> open = new ArrayList<>();
-    private Service service;
-    private Thread loop;
-
-    /** Accepts connections; what is heard on them, and their ends, come as one row of messages. */
-    private class Peer implements AutoCloseable {
-        final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        final BlockingQueue<Message> heard = new LinkedBlockingQueue<>();
-        final boolean resp;
-
-        Peer(boolean resp) throws IOException {
-            this.resp = resp;
-            open.add(this);
-            thread(() -> {
-                while (true) {
-                    Socket socket = server.accept();
-                    thread(() -> read(socket));
-                }
-            });
-        }
-
-        private void read(Socket socket) throws IOException {
-            DataInputStream in = new DataInputStream(socket.getInputStream());
-            try {
-                while (true) {
-                    List<String> items = new ArrayList<>();
-                    int number = resp ? Integer.parseInt(line(in).substring(1)) : 0;
-                    for (int i = 0; i < number; i++) {
-                        byte[] item = new byte[Integer.parseInt(line(in).substring(1))];
-                        in.readFully(item);
-                        line(in);
-                        items.add(new String(item, StandardCharsets.UTF_8));
-                    }
-                    heard.add(new Message(socket, resp ? items : List.of(line(in))));
-                }
-            } catch (IOException e) {
-                heard.add(new Message(socket, List.of("closed")));
-            }
-        }
-
-        Message next() throws InterruptedException {
-            Message message = heard.poll(SOON_S, TimeUnit.SECONDS);
-            assertNotNull(message, "nothing came");
-            return message;
-        }
-
-        Message next(String word) throws InterruptedException {
-            Message message = next();
-            assertEquals(word, message.items.get(0), message.items.toString());
-            return message;
-        }
-
-        String address() {
-            return "127.0.0.1:" + server.getLocalPort();
-        }
-
-        @Override
-        public void close() throws IOException {
-            server.close();
-        }
-    }
-
-    private record Message(Socket from, List<String> items) {
-        void say(String text) throws IOException {
-            from.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
-        }
-
-        void answer(String... answer) throws IOException {
-            StringBuilder out = new StringBuilder("*" + answer.length + "\r\n");
-            for (String item : answer) {
-                out.append('$').append(item.length()).append("\r\n").append(item).append("\r\n");
-            }
-            say(out.toString());
-        }
-
-        void reset() throws IOException {
-            from.setSoLinger(true, 0);
-            from.close();
-        }
-
-        String id() {
-            return items.get(1);
-        }
-    }
-
-    private interface Task {
-        void run() throws IOException;
-    }
-
-    private static void thread(Task task) {
-        Thread thread = new Thread(() -> {
-            try {
-                task.run();
-            } catch (IOException e) {
-                // The peer was closed.
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
-    }
-
-    private static String line(DataInputStream in) throws IOException {
-        ByteArrayOutputStream line = new ByteArrayOutputStream();
-        for (byte b = in.readByte(); b != '\n'; b = in.readByte()) {
-            line.write(b);
-        }
-        return line.toString(StandardCharsets.UTF_8).strip();
-    }
-
-    /** A client of the wire, which writes and reads as it is told. */
-    private class Client implements AutoCloseable {
-        final Socket socket = new Socket(service.address().getAddress(), service.address().getPort());
-        final DataInputStream in = new DataInputStream(socket.getInputStream());
-        final DataOutputStream out = new DataOutputStream(socket.getOutputStream());
-        int session;
-        int secret;
-
-        Client(String... behind) throws IOException {
-            open.add(this);
-            socket.setSoTimeout(SOON_S * 1000);
-            ByteArrayOutputStream first = new ByteArrayOutputStream();
-            DataOutputStream to = new DataOutputStream(first);
-            to.writeInt(9);
-            to.writeInt(3 << 16);
-            to.write(0);
-            for (String query : behind) {
-                query(to, query);
-            }
-            out.write(first.toByteArray());
-            assertEquals("K", told().get(0));
-        }
-
-        void query(DataOutputStream to, String text) throws IOException {
-            byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-            to.write('Q');
-            to.writeInt(bytes.length + 5);
-            to.write(bytes);
-            to.write(0);
-        }
-
-        List<String> ask(String query) throws IOException {
-            query(out, query);
-            return told();
-        }
-
-        /** The messages up to ReadyForQuery, in short: rows, tags, and the class of errors. */
-        List<String> told() throws IOException {
-            List<String> told = new ArrayList<>();
-            while (true) {
-                char type = (char) in.readByte();
-                byte[] body = new byte[in.readInt() - 4];
-                in.readFully(body);
-                DataInputStream read = new DataInputStream(new ByteArrayInputStream(body));
-                switch (type) {
-                    case 'Z' -> {
-                        return told;
-                    }
-                    case 'K' -> {
-                        session = read.readInt();
-                        secret = read.readInt();
-                        told.add("K");
-                    }
-                    case 'D' -> {
-                        List<String> row = new ArrayList<>();
-                        for (int n = read.readShort(); n > 0; n--) {
-                            row.add(new String(read.readNBytes(read.readInt()), StandardCharsets.UTF_8));
-                        }
-                        told.add(String.join("|", row));
-                    }
-                    case 'E' -> {
-                        String text = new String(body, StandardCharsets.UTF_8);
-                        told.add("error " + text.substring(text.indexOf("\0C") + 2, text.indexOf("\0C") + 4)
-                                + (text.contains("pushback=500") ? " pushback" : ""));
-                    }
-                    case 'C' -> told.add(new String(body, 0, body.length - 1, StandardCharsets.UTF_8));
-                    case 'I' -> told.add("empty");
-                    default -> { }
-                }
-            }
-        }
-
-        @Override
-        public void close() throws IOException {
-            socket.close();
-        }
-    }
-
-    private static String target(int uid, String engine, String state) {
-        return "{\"uid\":\"s-%08x\",\"endpoint\":\"%s\",\"az\":\"z\",\"model\":\"m\",\"state\":\"%s\",\"boot_ms\":0}"
-                .formatted(uid, engine, state);
-    }
-
-    private static String event(int offset, boolean all, String... targets) {
-        return "{\"offset\":%d,\"topology\":{\"rev\":1,\"all\":%b,\"targets\":[%s]}}"
-                .formatted(offset, all, String.join(",", targets));
-    }
-
-    private static Installation told(String bus, int sockets, int idleMs, String... targets) throws IOException {
-        return Installation.of(Fields.of(new JsonFactory().createParser(
-                configuration(bus, sockets, idleMs, targets))));
-    }
-
-    private static String configuration(String bus, int sockets, int idleMs, String... targets) {
-        return """
-                {"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"sockets":%d,"memory_mb":64},"bus":"%s",
-                "known":{"offset":7,"batch":[%s]},"settings":{"balancers":1,"position":0,"tick_us":5000,
-                "classes":[{"name":"look","aim_us":500000,"hard_limit_us":3000000,"repeat":"read_like","late_value":0.5},
-                {"name":"once","aim_us":500000,"hard_limit_us":3000000,"repeat":"non_idempotent","late_value":0.5}],
-                "projects":[{"name":"acme","quota_rps":1000}],"machine_types":["m"],"family_info":{"cores_by_kind":[4]},"rules":{"cold_from":0.3},
-                "limits":{"most_tries":3,"cancel":true,"retry_after":true,"max_retry_after_us":500000,
-                "connect_timeout_us":250000,"conn_idle_us":%d,"streams_per_conn":32}}}
-                """.formatted(sockets, bus, event(7, true, targets), idleMs * 1000);
-    }
-
-    private Peer start(Peer... engines) throws IOException {
-        return start(SOCKETS, IDLE_MS, engines);
-    }
-
-    private Peer start(int sockets, int idleMs, Peer... engines) throws IOException {
-        return start(sockets, idleMs, Arrays.stream(engines).map(Peer::address).toArray(String[]::new));
-    }
-
-    private Peer start(int sockets, int idleMs, String... engines) throws IOException {
-        Peer bus = new Peer(false);
-        String[] targets = new String[engines.length];
-        Arrays.setAll(targets, i -> target(i + 1, engines[i], "in_service"));
-        service = new Service(told(bus.address(), sockets, idleMs, targets));
-        service.open();
-        loop = new Thread(() -> {
-            try {
-                service.loop();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
-        loop.start();
-        return bus;
-    }
-
-    @AfterEach
-    void stop() throws Exception {
-        if (service != null) {
-            loop.interrupt();
-            loop.join();
-            service.close();
-        }
-        for (AutoCloseable each : open) {
-            each.close();
-        }
-    }
-
-    /** A command with so much work that no send is called off while a slow machine plays its part. */
-    private static String look(int call, int ttl) {
-        return command("look", call, ttl).replace("work=100", "work=1000");
-    }
-
-    private static String command(String profile, int call, int ttl) {
-        return "/* op=%s,call=%016x,ttl=%d,work=100 */ SELECT n FROM a_1.t".formatted(profile, call, ttl);
-    }
-
+class ServiceTest extends ServiceRig {
     @Test
     void aCommandBehindTheStartUpIsAnsweredWithAllItsPages() throws Exception {
         Peer engine = new Peer(true);
         start(engine);
         Client client = new Client(look(1, 3000));
         Message pull = engine.next("PULL");
-        assertEquals("SELECT n FROM a_1.t", pull.items.get(3));
-        assertTrue(pull.items.get(2).matches("lane=look,ttl=[0-9]+"), pull.items.get(2));
+        assertEquals("SELECT n FROM a_1.t", pull.items().get(3));
+        assertTrue(pull.items().get(2).matches("lane=look,ttl=[0-9]+"), pull.items().get(2));
         pull.answer(pull.id(), "status", "why=progress,v=0.5", "");
         pull.answer(pull.id(), "200", "pages=3,rep=pending:0", ROWS);
-        assertEquals(List.of("SCROLL", pull.id(), "1"), engine.next().items);
-        assertEquals(List.of("SCROLL", pull.id(), "2"), engine.next().items);
+        assertEquals(List.of("SCROLL", pull.id(), "1"), engine.next().items());
+        assertEquals(List.of("SCROLL", pull.id(), "2"), engine.next().items());
         pull.answer(pull.id(), "chunk", "page=2", "d\t\t\n");
         pull.answer(pull.id(), "chunk", "page=1", "c\t3\tz\n");
         assertEquals(List.of("a|1|x", "b|2|y", "c|3|z", "d||", "SELECT 4"), client.told());
@@ -323,7 +48,7 @@
         assertTrue(client.ask("SHOW cobaltseam.counters;").contains("commands_answered|1"));
         client.query(client.out, look(2, 3000));
         Message again = engine.next("PULL");
-        assertEquals(pull.from, again.from, "an unused connection is used again");
+        assertEquals(pull.from(), again.from(), "an unused connection is used again");
         again.answer(again.id(), "200", "pages=1", "");
         assertEquals(List.of("SELECT 0"), client.told());
     }
@@ -339,7 +64,7 @@
         Message second = poll(one, two);
         second.reset();
         Message third = poll(one, two);
-        assertEquals("PULL", third.items.get(0), "a reset may have run, which this profile may do twice");
+        assertEquals("PULL", third.items().get(0), "a reset may have run, which this profile may do twice");
         third.answer(third.id(), "200", "pages=1", ROWS);
         assertEquals(List.of("a|1|x", "b|2|y", "SELECT 2"), client.told());
         client.query(client.out, command("once", 2, 3000));
@@ -348,28 +73,6 @@
         assertEquals(List.of("error 58"), client.told(), "this one may not run twice, nor be refused");
     }
 
-    /** Asks until a counter stands at this. */
-    private static void await(Client client, String counter) throws Exception {
-        for (int i = 0; !client.ask("SHOW cobaltseam.counters").contains(counter); i++) {
-            assertTrue(i < SOON_S * 100, counter + " never came");
-            Thread.sleep(10);
-        }
-    }
-
-    /** The next word that comes to any of them. */
-    private static Message poll(Peer... peers) throws InterruptedException {
-        for (int i = 0; i < SOON_S * 1000; i++) {
-            for (Peer peer : peers) {
-                Message message = peer.heard.poll();
-                if (message != null && !message.items.get(0).equals("closed")) {
-                    return message;
-                }
-            }
-            Thread.sleep(1);
-        }
-        throw new AssertionError("nothing came");
-    }
-
     /** A cut-off engine reads no word to stop: only a closed connection ends a send for certain. */
     @Test
     void aSendIsGivenUpByClosingItsConnectionBeforeTheNextOne() throws Exception {
@@ -378,25 +81,12 @@
         Client client = new Client(command("look", 1, 1500));
         Message silent = engine.next("PULL");
         List<Message> next = List.of(engine.next(), engine.next());
-        assertEquals(Set.of("closed", "PULL"), Set.of(next.get(0).items.get(0), next.get(1).items.get(0)));
-        assertTrue(silent.from.getInputStream().read() < 0);
+        assertEquals(Set.of("closed", "PULL"), Set.of(next.get(0).items().get(0), next.get(1).items().get(0)));
+        assertTrue(silent.from().getInputStream().read() < 0);
         assertEquals(List.of("error 53 pushback"), client.told());
         assertEquals(List.of("empty"), client.ask(""));
     }
 
-    /** Holds up the thread that owns the state until this is counted down. */
-    private CountDownLatch holdUp() {
-        CountDownLatch held = new CountDownLatch(1);
-        service.inbox.post(null, () -> {
-            try {
-                held.await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
-        return held;
-    }
-
     /** A process that is held up finds answers waiting when it goes on; only then may it miss any. */
     @Test
     void whatHasComeIsHeardBeforeADeadlineActsOnWhatHasNot() throws Exception {
@@ -434,7 +124,7 @@
         assertEquals(List.of("error 58"), client.told());
         client.query(client.out, command("once", 2, 3000));
         engine.next("PULL").say("*nonsense\r\n");
-        assertEquals("closed", engine.next().items.get(0));
+        assertEquals("closed", engine.next().items().get(0));
         assertEquals(List.of("error 58"), client.told());
         client.query(client.out, look(3, 3000));
         Message good = engine.next("PULL");
@@ -459,7 +149,7 @@
         assertEquals(List.of("a|1|x", "b|2|y", "c|3|z", "SELECT 3"), client.told());
         client.query(client.out, look(2, 3000));
         Message again = engine.next("PULL");
-        assertEquals(pull.from, again.from, "the connection is as good as before");
+        assertEquals(pull.from(), again.from(), "the connection is as good as before");
         again.answer(again.id(), "200", "pages=1", "");
         assertEquals(List.of("SELECT 0"), client.told());
     }
@@ -472,11 +162,11 @@
         Message first = engine.next("PULL");
         Client two = new Client(command("once", 2, 3000));
         Message second = engine.next("PULL");
-        assertEquals(first.from, second.from);
-        assertEquals(List.of("KILL", first.id()), engine.next().items);
+        assertEquals(first.from(), second.from());
+        assertEquals(List.of("KILL", first.id()), engine.next().items());
         assertEquals(List.of("error 58"), one.told());
         first.answer(first.id(), "200", "pages=2", ROWS);
-        assertEquals(List.of("DISCARD", first.id()), engine.next().items, "a late answer is dropped");
+        assertEquals(List.of("DISCARD", first.id()), engine.next().items(), "a late answer is dropped");
         second.answer(second.id(), "200", "pages=1", ROWS);
         assertEquals("SELECT 2", two.told().get(2));
     }
@@ -492,12 +182,12 @@
         Thread.sleep(250);
         client.query(client.out, command("once", 2, 3000));
         List<Message> next = List.of(engine.next(), engine.next());
-        assertEquals(Set.of("closed", "PULL"), Set.of(next.get(0).items.get(0), next.get(1).items.get(0)));
-        assertFalse(next.get(0).from.equals(next.get(1).from));
+        assertEquals(Set.of("closed", "PULL"), Set.of(next.get(0).items().get(0), next.get(1).items().get(0)));
+        assertFalse(next.get(0).from().equals(next.get(1).from()));
         String restarted = target(1, engine.address(), "in_service").replace("\"boot_ms\":0",
                 "\"boot_ms\":" + (System.currentTimeMillis() + 60_000));
         bus.next().say(event(8, false, restarted) + "\n");
-        assertEquals("closed", engine.next().items.get(0), "a machine that came back knows no earlier connection");
+        assertEquals("closed", engine.next().items().get(0), "a machine that came back knows no earlier connection");
         assertEquals(List.of("error 58"), client.told());
     }
 
@@ -514,7 +204,8 @@
                     break;
                 }
             }
-            start(SOCKETS, IDLE_MS, "127.0.0.1:" + full.getLocalPort());
+            start(configuration -> configuration.replace("\"connect_timeout_us\":2000000", "\"connect_timeout_us\":250000"),
+                    SOCKETS, IDLE_MS, "127.0.0.1:" + full.getLocalPort());
             Client client = new Client(command("once", 1, 2000));
             long asked = System.nanoTime();
             assertEquals(List.of("error 53 pushback"), client.told());
@@ -541,7 +232,7 @@
             }
             Message pull = closed ? null : engine.heard.poll(200, TimeUnit.MILLISECONDS);
             for (int i = 0; pull != null && i < 8; i++) {
-                if (i > 0 && !engine.next().items.get(0).equals("SCROLL")) {
+                if (i > 0 && !engine.next().items().get(0).equals("SCROLL")) {
                     break;
                 }
                 pull.answer(pull.id(), i == 0 ? "200" : "chunk", i == 0 ? "pages=8" : "page=" + i, page);
@@ -705,15 +396,11 @@
         Client client = new Client(look(1, 3000));
         Message pull = engine.next("PULL");
         try (Socket cancel = new Socket(service.address().getAddress(), service.address().getPort())) {
-            DataOutputStream out = new DataOutputStream(cancel.getOutputStream());
-            out.writeInt(16);
-            out.writeInt(80877102);
-            out.writeInt(client.session);
-            out.writeInt(client.secret);
+            cancel.getOutputStream().write(client.cancelRequest());
             assertTrue(cancel.getInputStream().read() < 0);
         }
-        assertEquals("closed", engine.next().items.get(0));
-        assertTrue(pull.from.getInputStream().read() < 0);
+        assertEquals("closed", engine.next().items().get(0));
+        assertTrue(pull.from().getInputStream().read() < 0);
         client.query(client.out, look(2, 3000));
         Message second = engine.next("PULL");
         second.answer(second.id(), "200", "pages=1", ROWS);
@@ -721,7 +408,7 @@
         client.query(client.out, look(3, 3000));
         engine.next("PULL");
         client.close();
-        assertEquals("closed", engine.next().items.get(0));
+        assertEquals("closed", engine.next().items().get(0));
     }
 
     @Test
@@ -730,17 +417,17 @@
         Peer fresh = new Peer(true);
         Peer bus = start(old);
         Message from = bus.next();
-        assertEquals("from 7", from.items.get(0));
+        assertEquals("from 7", from.items().get(0));
         String change = event(8, false, target(1, old.address(), "terminated"), target(2, fresh.address(), "in_service"));
         from.say(change.substring(0, 30));
         from.say(change.substring(30) + "\nno json\n8\n");
         from.say("10\n");
-        assertEquals("closed", bus.next().items.get(0), "a number beyond the last event means one is missing");
+        assertEquals("closed", bus.next().items().get(0), "a number beyond the last event means one is missing");
         Message anew = bus.next();
-        assertEquals("from 8", anew.items.get(0));
+        assertEquals("from 8", anew.items().get(0));
         anew.reset();
         bus.next("closed");
-        assertEquals("from 8", bus.next().items.get(0));
+        assertEquals("from 8", bus.next().items().get(0));
         Client client = new Client(look(1, 3000));
         Message pull = fresh.next("PULL");
         pull.answer(pull.id(), "200", "pages=1", ROWS);
--- a/src/test/java/cobaltseam/standin/ClientStandIn.java
+++ b/src/test/java/cobaltseam/standin/ClientStandIn.java
@@ -44,12 +44,21 @@
     }
 
     public End command(String call, String profile, int ttlMs, int workMs) {
-        String text = "/* op=%s,call=%s,ttl=%d,org=acme,work=%d.0 */ SELECT a FROM s_1.t".formatted(profile, call, ttlMs, workMs);
         try {
-            write(text);
+            begin(call, profile, ttlMs, workMs);
         } catch (IOException e) {
             return End.CUT;
         }
+        return ending();
+    }
+
+    /** Writes a command. */
+    public void begin(String call, String profile, int ttlMs, int workMs) throws IOException {
+        write("/* op=%s,call=%s,ttl=%d,org=acme,work=%d.0 */ SELECT a FROM s_1.t".formatted(profile, call, ttlMs, workMs));
+    }
+
+    /** Waits for the ending of the command that was written last. */
+    public End ending() {
         try {
             return read(null);
         } catch (SocketTimeoutException e) {
