The idempotency key of a request goes with each of its sends

Lines at fault: StatementScanner read `dedupe` and dropped it, EngineCommands.pull had no field for it. An engine could then not know a repeat from another request.

Change: Statement.idempotencyKey, written as `dedupe` with each send, refused where it could not be passed on as it came.

--- a/src/main/java/cobaltseam/postgres/StatementScanner.java
+++ b/src/main/java/cobaltseam/postgres/StatementScanner.java
@@ -25,6 +25,8 @@
     private static final Set<String> IN_NAME = Set.of("as", "lateral", "if", "not", "exists");
     private static final Set<String> NOT_COUNTED = Set.of("staging");
     private static final int NONE = -1;
+    /** Characters of an idempotency key. */
+    private static final int LONGEST_KEY = 128;
 
     private final byte[] text;
     private int at;
@@ -73,7 +75,7 @@
         }
         double ttl = number(fields, "ttl", required(fields, "ttl"));
         return new Statement(required(fields, "op"), call, (long) ttl, fields.get("org"),
-                number(fields, "work", "0"), number(fields, "space", "0"), dataSet(), passed);
+                number(fields, "work", "0"), number(fields, "space", "0"), dataSet(), idempotencyKey(fields), passed);
     }
 
     private static Map<String, String> fields(String comment) {
@@ -95,6 +97,15 @@
         return value;
     }
 
+    /** Passed on as it came, in a list of fields; so it may hold nothing that would end a field or a line there. */
+    private static String idempotencyKey(Map<String, String> fields) throws Unusable {
+        String key = fields.get("dedupe");
+        if (key != null && !key.matches("[!-~&&[^,=]]{1," + LONGEST_KEY + "}")) {
+            throw new Unusable("'dedupe' is not 1 to " + LONGEST_KEY + " printable characters without comma, equals sign and space");
+        }
+        return key;
+    }
+
     private static double number(Map<String, String> fields, String name, String absent) throws Unusable {
         String value = fields.getOrDefault(name, absent);
         if (value.matches("[0-9]{1,12}([.][0-9]{0,12})?")) {
--- a/src/main/java/cobaltseam/resp/EngineCommands.java
+++ b/src/main/java/cobaltseam/resp/EngineCommands.java
@@ -8,9 +8,15 @@
     private EngineCommands() {
     }
 
-    /** Runs a statement, its bytes as they came. */
-    public static byte[] pull(String id, String profile, long timeToLiveMs, byte[] statement) {
-        return array(bytes("PULL"), bytes(id), bytes("lane=" + profile + ",ttl=" + timeToLiveMs), statement);
+    /**
+     * Runs a statement, its bytes as they came.
+     *
+     * @param idempotencyKey by which engines know a repeat, or null
+     */
+    public static byte[] pull(String id, String profile, long timeToLiveMs, String idempotencyKey, byte[] statement) {
+        String fields = "lane=" + profile + ",ttl=" + timeToLiveMs;
+        String marked = idempotencyKey == null ? fields : fields + ",dedupe=" + idempotencyKey;
+        return array(bytes("PULL"), bytes(id), bytes(marked), statement);
     }
 
     /** Gives a command up. */
--- a/src/main/java/cobaltseam/service/Engines.java
+++ b/src/main/java/cobaltseam/service/Engines.java
@@ -351,7 +351,7 @@
     private void write(Send send, Moment now) {
         long ms = Math.max(1, (send.until.since(now).us() + 999) / 1000);
         send.position = send.connection.write(EngineCommands.pull(send.call(), send.statement.profile(), ms,
-                send.statement.text()));
+                send.statement.idempotencyKey(), send.statement.text()));
     }
 
     /** Calls a send off: its outcome is told at once, and its engine told to stop. */
--- a/src/test/java/cobaltseam/service/SendOrderTest.java
+++ b/src/test/java/cobaltseam/service/SendOrderTest.java
@@ -112,6 +112,35 @@
         assertNoPull(late);
     }
 
+    /** Without it, engines could not tell a repeat of a request that has run from another request. */
+    @Test
+    void theIdempotencyKeyOfARequestGoesWithEachOfItsSends() throws Exception {
+        Peer one = new Peer(true);
+        Peer two = new Peer(true);
+        start(configuration -> configuration.replace("\"repeat\":\"non_idempotent\"",
+                "\"repeat\":\"idempotency_key\",\"key_scope\":\"all\",\"window_us\":10000000"),
+                SOCKETS, IDLE_MS, one.address(), two.address());
+        Client client = new Client(command("once", 1, 20_000).replace("op=", "dedupe=k-7f:01,op="));
+        Message first = poll(one, two);
+        assertTrue(first.items().get(2).endsWith(",dedupe=k-7f:01"), first.items().get(2));
+        first.reset();
+        Message again = poll(one, two);
+        assertTrue(again.items().get(2).endsWith(",dedupe=k-7f:01"), again.items().get(2));
+        again.answer(again.id(), "200", "pages=1", ROWS);
+        assertEquals("SELECT 2", client.told().get(2));
+    }
+
+    /** One that could not be passed on as it came would be another key, or fields of its own. */
+    @Test
+    void anIdempotencyKeyThatCantBePassedOnIsRefused() throws Exception {
+        Peer engine = new Peer(true);
+        start(engine);
+        Client client = new Client();
+        assertEquals(List.of("error 42"), client.ask(look(1, 3000).replace("op=", "dedupe=a b,op=")));
+        assertEquals(List.of("error 42"), client.ask(look(1, 3000).replace("op=", "dedupe=" + "k".repeat(129) + ",op=")));
+        assertTrue(engine.heard.isEmpty());
+    }
+
     /** Nothing was sent to this peer, however long it listens after all is over. */
     private static void assertNoPull(Peer peer) throws InterruptedException {
         for (Message m = peer.heard.poll(2, TimeUnit.SECONDS); m != null; m = peer.heard.poll(0, TimeUnit.SECONDS)) {
--- a/src/test/java/cobaltseam/standin/DispatcherProcess.java
+++ b/src/test/java/cobaltseam/standin/DispatcherProcess.java
@@ -131,6 +131,11 @@
     public Map<String, Long> end() throws IOException, InterruptedException {
         int from = lines();
         signal("TERM");
+        return ended(from);
+    }
+
+    /** Waits until it has ended; the counters that it printed behind this line of its log. */
+    public Map<String, Long> ended(int from) throws InterruptedException {
         if (!process.waitFor(20, TimeUnit.SECONDS)) {
             throw new AssertionError("it does not end:\n" + log());
         }
