Engines whose names differ only before their number are two engines

Seen in the review of the list watch: Roster.engine made an engine's id from the hex digits at its name's end alone, so that "east-01" and "west-01" were one engine; the address and drain of one were taken for the other's. Checked: ids order ties and are told in log lines, nothing else hangs on their value. Names of one kind keep their order, so ties stay as they were.

--- a/src/main/java/cobaltseam/service/Roster.java
+++ b/src/main/java/cobaltseam/service/Roster.java
@@ -22,6 +22,8 @@
     static final String OFFSET = "offset";
     static final String WHOLE = "all";
     private static final int HEX = 16;
+    /** As many hex digits as an int holds. */
+    private static final String NUMBER = "[0-9a-fA-F]{1,8}";
     private static final long US_PER_MS = 1000;
     private static final long FNV_BASIS = 0xcbf29ce484222325L;
     private static final long FNV_PRIME = 0x100000001b3L;
@@ -51,16 +53,26 @@
         };
     }
 
-    /** The number in an engine's name, or, where it holds none, one made from the name alike everywhere. */
+    /**
+     * An engine's id, made from its name alone and so alike everywhere: the number at the name's end below a hash of what
+     * stands before it, so that "east-01" and "west-01" are two engines, and those of one kind of name keep the order of
+     * their numbers. A name without such a number is hashed whole.
+     */
     static EngineId engine(String uid) {
-        String digits = uid.substring(uid.lastIndexOf('-') + 1);
-        if (digits.matches("[0-9a-fA-F]{1,15}")) {
-            return new EngineId(Long.parseLong(digits, HEX));
+        int numberFrom = uid.lastIndexOf('-') + 1;
+        String number = uid.substring(numberFrom);
+        if (!number.matches(NUMBER)) {
+            return new EngineId(hash(uid) & Long.MAX_VALUE);
         }
+        long before = hash(uid.substring(0, numberFrom)) << Integer.SIZE;
+        return new EngineId((before | Long.parseLong(number, HEX)) & Long.MAX_VALUE);
+    }
+
+    private static long hash(String name) {
         long hash = FNV_BASIS;
-        for (byte b : uid.getBytes(StandardCharsets.UTF_8)) {
+        for (byte b : name.getBytes(StandardCharsets.UTF_8)) {
             hash = (hash ^ b & 0xff) * FNV_PRIME;
         }
-        return new EngineId(hash & Long.MAX_VALUE);
+        return hash;
     }
 }
--- a/src/test/java/cobaltseam/service/ListWatchOrderTest.java
+++ b/src/test/java/cobaltseam/service/ListWatchOrderTest.java
@@ -83,6 +83,17 @@
         assertGoesTo(one, two);
     }
 
+    /** Names that differ only before their number: taken for one engine, the drain of one would end the other's work. */
+    @Test
+    void aDrainOfAnEngineIsNotTakenForThatOfOneWithTheSameNumber() throws Exception {
+        Peer one = new Peer(true);
+        Peer namesake = new Peer(true);
+        Peer bus = start(one);
+        bus.next("from 7").say(event(8, false, target(1, namesake.address(), drained).replace("\"s-", "\"t-")) + "\n");
+        await(new Client(), "bus_events|1");
+        assertGoesTo(one, namesake);
+    }
+
     /** Told twice or late, an older change does not undo a newer one. */
     @Test
     void aChangeOlderThanWhatIsKnownChangesNothing() throws Exception {
