--- a/src/test/java/cobaltseam/service/DepartureOrderTest.java
+++ b/src/test/java/cobaltseam/service/DepartureOrderTest.java
@@ -13,6 +13,7 @@
 /** Clients that close or cancel at each step of their request: nothing begins for one that has gone. */
 class DepartureOrderTest extends ServiceRig {
     private static final int PAIRS = 8;
+    private static final int LEAVERS = 20;
     /** Threads that one engine of these tests is given. */
     private static final int ROOM = 8;
 
@@ -100,6 +101,96 @@
         assertEquals("%016x".formatted(21), engine.next("PULL").id());
     }
 
+    /** The end of its output alone counts as leaving: nobody is known to read on. */
+    @Test
+    void aClientThatEndsItsOutputHasLeft() throws Exception {
+        Peer engine = new Peer(true);
+        start(engine);
+        Client leaver = new Client(heavy(1));
+        engine.next("PULL");
+        leaver.socket.shutdownOutput();
+        engine.next("closed");
+        await(new Client(), "commands_departed|1");
+    }
+
+    @Test
+    void aClientWhoseConnectionIsResetHasLeft() throws Exception {
+        Peer engine = new Peer(true);
+        start(engine);
+        Client leaver = new Client(heavy(1));
+        engine.next("PULL");
+        leaver.socket.setSoLinger(true, 0);
+        leaver.socket.close();
+        engine.next("closed");
+        await(new Client(), "commands_departed|1");
+    }
+
+    /** Decided on, and not yet written: when the connection comes up, nobody wants it any more. */
+    @Test
+    void whatWaitsForAConnectionWhenItsClientLeavesIsNeverWritten() throws Exception {
+        Crowded crowded = new Crowded();
+        start(ServiceRig::patient, SOCKETS, IDLE_MS, crowded.address());
+        Client watch = new Client();
+        Client leaver = new Client(heavy(1));
+        await(watch, "sends|1");
+        leaver.close();
+        await(watch, "commands_departed|1");
+        assertNoPull(crowded.relieve());
+    }
+
+    /** The answer comes in the same turn as the end of its client: it goes nowhere, and the next one gets its own. */
+    @Test
+    void anAnswerThatComesWithTheEndOfItsClientGoesNowhere() throws Exception {
+        Peer engine = new Peer(true);
+        start(engine);
+        Client leaver = new Client(heavy(1));
+        Message first = engine.next("PULL");
+        Client watch = new Client();
+        CountDownLatch held = holdUp();
+        leaver.close();
+        awaitRead();
+        first.answer(first.id(), "200", "pages=1", ROWS);
+        awaitRead();
+        held.countDown();
+        await(watch, "clients_closed|1");
+        watch.query(watch.out, heavy(2));
+        Message second = engine.next();
+        while (second.items().get(0).equals("closed")) {
+            second = engine.next();
+        }
+        second.answer(second.id(), "200", "pages=1", "c\t3\tz\n");
+        assertEquals(List.of("c|3|z", "SELECT 1"), watch.told());
+    }
+
+    /** All that are held leave at once: not one of them is sent when room comes, and who stays is not kept waiting. */
+    @Test
+    void aBurstOfLeaversIsPassedOver() throws Exception {
+        Peer engine = new Peer(true);
+        start(engine);
+        Client watch = new Client();
+        List<Message> out = new ArrayList<>();
+        for (int i = 0; i < ROOM; i++) {
+            new Client(heavy(i));
+            out.add(engine.next("PULL"));
+        }
+        List<Client> leavers = new ArrayList<>();
+        for (int i = 0; i < LEAVERS; i++) {
+            leavers.add(new Client(heavy(100 + i)));
+        }
+        await(watch, "commands_taken|" + (ROOM + LEAVERS));
+        new Client(heavy(99));
+        await(watch, "commands_taken|" + (ROOM + LEAVERS + 1));
+        CountDownLatch held = holdUp();
+        out.get(0).answer(out.get(0).id(), "200", "pages=1", ROWS);
+        for (Client leaver : leavers) {
+            leaver.close();
+        }
+        awaitRead();
+        held.countDown();
+        assertEquals("%016x".formatted(99), engine.next("PULL").id());
+        await(watch, "commands_departed|" + LEAVERS);
+    }
+
     /** A cancel request read together with its statement, on another connection, is not passed over for coming first. */
     @Test
     void aCancelRequestIsHeardAfterTheStatementThatItNames() throws Exception {
--- a/src/test/java/cobaltseam/service/ListWatchOrderTest.java
+++ b/src/test/java/cobaltseam/service/ListWatchOrderTest.java
@@ -3,10 +3,16 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+
 import org.junit.jupiter.api.Test;
 
 /** The watch on the list of engines, when it is silent, behind, or told in another order. */
 class ListWatchOrderTest extends ServiceRig {
+    private static final int FEW_SOCKETS = 48;
     private final String drained = "terminating";
 
     private void assertGoesTo(Peer expected, Peer other) throws Exception {
@@ -94,6 +100,29 @@
         assertGoesTo(one, namesake);
     }
 
+    /** More idle clients than there are descriptors come while discovery is down: its return still finds one. */
+    @Test
+    void aListThatComesBackIsHeardThoughIdleClientsHoldTheDescriptors() throws Exception {
+        Peer one = new Peer(true);
+        Peer two = new Peer(true);
+        int port;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        start(plain -> plain.replaceFirst("\"bus\":\"[^\"]*\"", "\"bus\":\"127.0.0.1:" + port + "\""), FEW_SOCKETS, IDLE_MS,
+                one.address(), two.address());
+        Client watch = new Client();
+        for (int i = 0; i < 2 * FEW_SOCKETS; i++) {
+            Socket idle = new Socket(service.address().getAddress(), service.address().getPort());
+            open.add(idle);
+            assertEquals(List.of("empty"), watch.ask(""));
+        }
+        Peer bus = new Peer(false, port);
+        bus.next("from 7").say(event(8, false, target(2, two.address(), drained)) + "\n");
+        await(watch, "bus_events|1");
+        assertGoesTo(one, two);
+    }
+
     /** Told twice or late, an older change does not undo a newer one. */
     @Test
     void aChangeOlderThanWhatIsKnownChangesNothing() throws Exception {
--- a/src/test/java/cobaltseam/service/SendOrderTest.java
+++ b/src/test/java/cobaltseam/service/SendOrderTest.java
@@ -1,70 +1,21 @@
 package cobaltseam.service;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.Test;
 
 /** Sends that wait for their connection while the world changes, and answers that are too many. */
 class SendOrderTest extends ServiceRig {
-    private static final int CONNECT_MS = 50;
-
-    /** Engines whose connections may take long to come up. */
-    private static String patient(String configuration) {
-        return configuration.replace("\"connect_timeout_us\":2000000", "\"connect_timeout_us\":30000000");
-    }
-
-    /** An engine to which no connection comes up until it is relieved. */
-    private final class Crowded {
-        final ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-        final List<Socket> waiting = new ArrayList<>();
-
-        Crowded() throws IOException {
-            open.add(server);
-            for (boolean full = false; !full;) {
-                Socket socket = new Socket();
-                waiting.add(socket);
-                open.add(socket);
-                try {
-                    socket.connect(server.getLocalSocketAddress(), CONNECT_MS);
-                } catch (IOException e) {
-                    full = true;
-                }
-            }
-        }
-
-        String address() {
-            return "127.0.0.1:" + server.getLocalPort();
-        }
-
-        /** Lets connections come up from now on; what is said on each is heard by a peer of its own. */
-        Peer relieve() throws IOException {
-            Peer hears = new Peer(true);
-            thread(() -> {
-                while (true) {
-                    Socket socket = server.accept();
-                    thread(() -> hears.read(socket));
-                }
-            });
-            return hears;
-        }
-    }
-
     /** Decided on before the drain was told, and written after it, it would break the drain. */
     @Test
     void aSendThatWaitsForAConnectionToADrainedEngineGoesElsewhere() throws Exception {
         Peer sound = new Peer(true);
         Crowded crowded = new Crowded();
-        Peer bus = start(SendOrderTest::patient, SOCKETS, IDLE_MS, sound.address(), crowded.address());
+        Peer bus = start(ServiceRig::patient, SOCKETS, IDLE_MS, sound.address(), crowded.address());
         Message watch = bus.next("from 7");
         Client client = new Client(command("once", 1, 20_000));
         await(new Client(), "sends|1");
@@ -82,7 +33,7 @@
     void aSendThatWaitsForAConnectionToAnEngineThatStartsAnewIsDecidedAgain() throws Exception {
         Peer sound = new Peer(true);
         Crowded crowded = new Crowded();
-        Peer bus = start(SendOrderTest::patient, SOCKETS, IDLE_MS, sound.address(), crowded.address());
+        Peer bus = start(ServiceRig::patient, SOCKETS, IDLE_MS, sound.address(), crowded.address());
         Message watch = bus.next("from 7");
         Client client = new Client(command("once", 1, 20_000));
         await(new Client(), "sends|1");
@@ -141,14 +92,6 @@
         assertTrue(engine.heard.isEmpty());
     }
 
-    /** Nothing was sent to this peer, however long it listens after all is over. */
-    private static void assertNoPull(Peer peer) throws InterruptedException {
-        for (Message m = peer.heard.poll(2, TimeUnit.SECONDS); m != null; m = peer.heard.poll(0, TimeUnit.SECONDS)) {
-            assertEquals("closed", m.items().get(0));
-        }
-        assertNull(peer.heard.peek());
-    }
-
     /** What nobody asked for must not take the processor without end; the others are served on. */
     @Test
     void anEngineThatAnswersWithoutEndWhatNobodyAskedLosesItsConnection() throws Exception {
--- a/src/test/java/cobaltseam/service/ServiceRig.java
+++ b/src/test/java/cobaltseam/service/ServiceRig.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayInputStream;
@@ -35,6 +36,7 @@
  */
 abstract class ServiceRig {
     static final int SOON_S = 10;
+    private static final int CONNECT_MS = 50;
     static final int SOCKETS = 256;
     static final int IDLE_MS = 30_000;
     static final String ROWS = "a\t1\tx\nb\t2\ty\n";
@@ -46,12 +48,18 @@
 
     /** Accepts connections; what is heard on them, and their ends, come as one row of messages. */
     final class Peer implements AutoCloseable {
-        final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        final ServerSocket server;
         final BlockingQueue<Message> heard = new LinkedBlockingQueue<>();
         final boolean resp;
 
         Peer(boolean resp) throws IOException {
+            this(resp, 0);
+        }
+
+        /** @param port where it listens, or 0 for any that is free */
+        Peer(boolean resp, int port) throws IOException {
             this.resp = resp;
+            server = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
             open.add(this);
             thread(() -> {
                 while (true) {
@@ -315,6 +323,55 @@
                 .array();
     }
 
+    /** Engines whose connections may take long to come up. */
+    static String patient(String configuration) {
+        return configuration.replace("\"connect_timeout_us\":2000000", "\"connect_timeout_us\":30000000");
+    }
+
+    /** An engine to which no connection comes up until it is relieved. */
+    final class Crowded {
+        final ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        final List<Socket> waiting = new ArrayList<>();
+
+        Crowded() throws IOException {
+            open.add(server);
+            for (boolean full = false; !full;) {
+                Socket socket = new Socket();
+                waiting.add(socket);
+                open.add(socket);
+                try {
+                    socket.connect(server.getLocalSocketAddress(), CONNECT_MS);
+                } catch (IOException e) {
+                    full = true;
+                }
+            }
+        }
+
+        String address() {
+            return "127.0.0.1:" + server.getLocalPort();
+        }
+
+        /** Lets connections come up from now on; what is said on each is heard by a peer of its own. */
+        Peer relieve() throws IOException {
+            Peer hears = new Peer(true);
+            thread(() -> {
+                while (true) {
+                    Socket socket = server.accept();
+                    thread(() -> hears.read(socket));
+                }
+            });
+            return hears;
+        }
+    }
+
+    /** Nothing was sent to this peer, however long it listens after all is over. */
+    static void assertNoPull(Peer peer) throws InterruptedException {
+        for (Message m = peer.heard.poll(2, TimeUnit.SECONDS); m != null; m = peer.heard.poll(0, TimeUnit.SECONDS)) {
+            assertEquals("closed", m.items().get(0));
+        }
+        assertNull(peer.heard.peek());
+    }
+
     /** Asks until a counter stands at this. */
     static void await(Client client, String counter) throws Exception {
         for (int i = 0; !client.ask("SHOW cobaltseam.counters").contains(counter); i++) {
