A start hears what the event bus has to tell before it takes clients

The processes that had been killed were ready again at 15.1 s: their configuration was written before 13.67 s, and a start takes 1.8 s. Lines at fault: Service.open bound the listener right after EventBus.connect, so the first requests were sent on by the list of the configuration before the bus was first asked.

Change: catchUp hears the bus until its number has come, or 0.25 s after it was asked, 1 s at most where it is away; then clients may come.

--- a/src/main/java/cobaltseam/service/EventBus.java
+++ b/src/main/java/cobaltseam/service/EventBus.java
@@ -51,6 +51,9 @@
     private ConnectFuture future;
     private Deadlines.Deadline next;
     private Moment heard;
+    /** When it was first asked; null until then. */
+    private Moment askedAt;
+    private boolean numberHeard;
 
     EventBus(Installation told, SocketConnector connector, Inbox inbox, Clock clock, Deadlines deadlines,
              Counters counters, Consumer<Roster> listener) {
@@ -127,6 +130,11 @@
         next = deadlines.set(clock.now().plus(BEAT), () -> lost(mine, "no connection"));
     }
 
+    /** Whether what the bus had when it was first asked has come: its number has, or there was time enough for it. */
+    boolean isCaughtUp(Moment now) {
+        return numberHeard || askedAt != null && now.since(askedAt).compareTo(RETRY) >= 0;
+    }
+
     /** How long the bus has said nothing; since the start, if it never did. */
     Span silent(Moment now) {
         return now.since(heard);
@@ -160,6 +168,11 @@
             counters.add(Count.BUS_CONNECTIONS);
             f.getSession().write(IoBuffer.wrap(("from " + last + "\n").getBytes(StandardCharsets.US_ASCII)));
             await(mine);
+            if (askedAt == null) {
+                askedAt = clock.now();
+                // Ends a wait for what it tells.
+                deadlines.set(askedAt.plus(RETRY), () -> { });
+            }
         }
     }
 
@@ -214,6 +227,7 @@
      * asked for anew, as the number may overtake them: passed over, a drain among them would never be heard.
      */
     private void number(long mine, long number) {
+        numberHeard = true;
         boolean again = behind;
         behind = number > last;
         if (behind && !missing(mine) && again) {
--- a/src/main/java/cobaltseam/service/Service.java
+++ b/src/main/java/cobaltseam/service/Service.java
@@ -37,6 +37,8 @@
      * platform may kill a process 3 s after {@link #STOP_AFTER}.
      */
     private static final Span GIVE_UP_AFTER = new Span(2_700_000);
+    /** A start waits this long at most for what the event bus has to tell; without it, it serves by the configuration's list. */
+    private static final Span CATCH_UP_WITHIN = new Span(1_000_000);
     /** A shutdown waits this long at most for clients to close, once nothing is owed to any. */
     private static final Span LEAVE_WITHIN = new Span(2_500_000);
     private static final Span LONGEST_WAIT = new Span(1_000_000);
@@ -70,6 +72,8 @@
     private final Commands commands;
     private final Clients clients;
     private final EventBus bus;
+    /** Whether it follows the list of engines. */
+    private boolean follows;
     /** Whether it takes nothing more. */
     private boolean leaves;
     /** When it ends at the latest; null until it takes nothing more and nothing is open. */
@@ -120,6 +124,7 @@
             System.err.println(service.counters);
         }, "stop"));
         try {
+            service.catchUp();
             service.open();
             LOG.log(Level.INFO, "{0} serves on {1}", Field.of("name", told.name()), Field.of("address", service.address()),
                     Field.event("service.started"));
@@ -167,10 +172,30 @@
         sessions.setMaxReadBufferSize(LARGEST_READ);
     }
 
-    /** Takes clients in, once the list of engines is read. */
+    /**
+     * Hears what the event bus has to tell beyond the configuration, before clients come: that was written before this
+     * process started, and an engine that drained since must not be sent to.
+     */
+    void catchUp() throws InterruptedException {
+        follow();
+        Moment by = clock.now().plus(CATCH_UP_WITHIN);
+        deadlines.set(by, () -> { });
+        while (!bus.isCaughtUp(clock.now()) && clock.now().before(by)) {
+            turn();
+        }
+    }
+
+    private void follow() {
+        if (!follows) {
+            follows = true;
+            told.known().forEach(commands::listed);
+            bus.connect();
+        }
+    }
+
+    /** Takes clients in. */
     void open() throws IOException {
-        told.known().forEach(commands::listed);
-        bus.connect();
+        follow();
         if (hall == null || hall.answersStandingBy()) {
             acceptor.bind(told.listen());
         }
@@ -286,25 +311,30 @@
     /** Runs what is handed over and what is due, until it is to stop and nothing is open. */
     void loop() throws InterruptedException {
         while (!isOver()) {
-            // All that has come is heard before a deadline acts on what has not, or is decided on: a process
-            // that was held up would else give up sends whose answers lie here.
-            Runnable task = inbox.next(deadlines.untilNext(clock.now(), LONGEST_WAIT));
-            for (int heard = 1; task != null; task = heard++ < MOST_AT_ONCE ? inbox.next(Span.ZERO) : null) {
-                look();
-                task.run();
-            }
+            turn();
+        }
+        ended.countDown();
+    }
+
+    /** Hears what has come, does what is due, and follows the policy. */
+    private void turn() throws InterruptedException {
+        // All that has come is heard before a deadline acts on what has not, or is decided on: a process
+        // that was held up would else give up sends whose answers lie here.
+        Runnable task = inbox.next(deadlines.untilNext(clock.now(), LONGEST_WAIT));
+        for (int heard = 1; task != null; task = heard++ < MOST_AT_ONCE ? inbox.next(Span.ZERO) : null) {
             look();
-            for (Runnable due = deadlines.due(clock.now()); due != null; due = deadlines.due(clock.now())) {
-                try {
-                    due.run();
-                } catch (RuntimeException e) {
-                    counters.add(Count.FAULTS);
-                    LOG.log(Level.ERROR, "a fault at a deadline", e);
-                }
+            task.run();
+        }
+        look();
+        for (Runnable due = deadlines.due(clock.now()); due != null; due = deadlines.due(clock.now())) {
+            try {
+                due.run();
+            } catch (RuntimeException e) {
+                counters.add(Count.FAULTS);
+                LOG.log(Level.ERROR, "a fault at a deadline", e);
             }
-            commands.follow();
         }
-        ended.countDown();
+        commands.follow();
     }
 
     /** Whether it was asked to stop, nothing is open, and its clients have gone or had long enough to go. */
--- a/src/test/java/cobaltseam/service/ListWatchOrderTest.java
+++ b/src/test/java/cobaltseam/service/ListWatchOrderTest.java
@@ -123,6 +123,38 @@
         assertGoesTo(one, two);
     }
 
+    /** Its configuration was written before it started: a drain told since has to be heard before the first request is sent on. */
+    @Test
+    void aDrainToldDuringTheStartIsHeardBeforeClientsCome() throws Exception {
+        Peer one = new Peer(true);
+        Peer two = new Peer(true);
+        Peer bus = new Peer(false);
+        service = new Service(told(bus.address(), SOCKETS, IDLE_MS, target(1, one.address(), "in_service"),
+                target(2, two.address(), "in_service")));
+        Thread tells = new Thread(() -> {
+            try {
+                bus.next("from 7").say(event(8, false, target(2, two.address(), drained)) + "\n8\n");
+            } catch (Exception e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        tells.start();
+        service.catchUp();
+        serve();
+        assertGoesTo(one, two);
+        tells.join();
+    }
+
+    /** Without discovery it starts all the same, by the list that its configuration holds. */
+    @Test
+    void aStartWithoutDiscoveryServesByTheKnownList() throws Exception {
+        Peer one = new Peer(true);
+        service = new Service(told("127.0.0.1:9", SOCKETS, IDLE_MS, target(1, one.address(), "in_service")));
+        service.catchUp();
+        serve();
+        assertGoesTo(one, new Peer(true));
+    }
+
     /** Told twice or late, an older change does not undo a newer one. */
     @Test
     void aChangeOlderThanWhatIsKnownChangesNothing() throws Exception {
--- a/src/test/java/cobaltseam/service/ServiceRig.java
+++ b/src/test/java/cobaltseam/service/ServiceRig.java
@@ -281,6 +281,12 @@
         Arrays.setAll(targets, i -> target(i + 1, engines[i], "in_service"));
         service = new Service(Installation.of(Fields.of(new JsonFactory().createParser(
                 changed.apply(configuration(bus.address(), sockets, idleMs, targets))))));
+        serve();
+        return bus;
+    }
+
+    /** Opens the service and runs its loop. */
+    void serve() throws IOException {
         service.open();
         Service started = service;
         Thread loop = new Thread(() -> {
@@ -292,7 +298,6 @@
         });
         loops.put(started, loop);
         loop.start();
-        return bus;
     }
 
     @AfterEach
