What was read of a client's end or cancel request counts before any attempt begins

Seen in a second reading of the service, each then forced by a test on real connections; every mend was taken out of the build alone and its test failed (what follows in brackets is what it then said): - Engines.connected wrote a request whose connection had come up though the I/O thread had read its client's end behind it ("expected closed but was PULL"): the event loop heard of the connection first. Listener.isWanted is asked before each such write. - Clients.heard passed a cancel request over when its own connection had closed right behind it ("nothing came": the attempt went on). It now counts whatever became of its connection. - A cancel request read and not yet heard did not count in Client.hasLeft, so a failed attempt was followed by a retry ("it was sent again"). Those read wait in cancelsRead until heard; each came on a connection of its own, which bounds them. - Engines.Wire.messageReceived handed answers over in the middle of a round, so a retry could overtake a client's end that lay unread in the same one ("one was sent again"). Handed over at the round's end, as what clients say is. - Service.turn acted on deadlines of a process that had stood still while answers lay unread in the kernel ("Index 2 out of bounds": shed, its answer there). A deadline over 50 ms late, half of the 0.1 s within which a client's end has to be known, now has the I/O thread read everything first, and that is heard. Ruled out: a retry straight from an outcome (Dispatcher.after never sends) and a reset read in one round with the client's end (MINA tells of it after all reads); both have tests that passed before.

--- a/src/main/java/cobaltseam/service/Clients.java
+++ b/src/main/java/cobaltseam/service/Clients.java
@@ -11,7 +11,9 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Queue;
 import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Predicate;
@@ -124,7 +126,11 @@
 
         @Override
         public boolean hasLeft() {
-            return session.isClosing();
+            return session.isClosing() || cancelsRead.stream().anyMatch(this::isNamedBy);
+        }
+
+        boolean isNamedBy(ClientMessage.Cancel cancel) {
+            return (int) key == cancel.session() && secret == cancel.secret();
         }
     }
 
@@ -158,6 +164,8 @@
     private final AtomicLong held = new AtomicLong();
     private final long mostHeld;
     private final Slots<Client> slots;
+    /** Cancel requests that were read and not heard yet; each came on a connection of its own. */
+    private final Queue<ClientMessage.Cancel> cancelsRead = new ConcurrentLinkedQueue<>();
     /** Clients with no statement open, the longest idle first: by whether they asked never, once, or more. */
     private final Set<Client> unasked = new LinkedHashSet<>();
     private final Set<Client> askedOnce = new LinkedHashSet<>();
@@ -252,7 +260,8 @@
             client.unheard.decrementAndGet();
             heard(client, heard);
         });
-        if (message instanceof ClientMessage.Cancel) {
+        if (message instanceof ClientMessage.Cancel cancel) {
+            cancelsRead.add(cancel);
             // The statement that it names was written before it, on another connection, and is to be heard first.
             sockets.afterReading(handsOver);
         } else {
@@ -431,6 +440,13 @@
     }
 
     private void heard(Client client, Heard heard) {
+        if (heard.message() instanceof ClientMessage.Cancel cancel) {
+            // Also when its own connection has closed right behind it.
+            cancelsRead.remove(cancel);
+            cancel(cancel);
+            client.session.closeNow();
+            return;
+        }
         if (slots.get(client.key) != client) {
             if (heard.size() > 0) {
                 counters.add(Count.STATEMENTS_UNHEARD);
@@ -461,9 +477,6 @@
             write(client, new Replies().welcome((int) client.key, client.secret));
         } else if (message instanceof ClientMessage.EncryptionRequest) {
             client.lastWrite = client.session.write(IoBuffer.wrap(new byte[] {'N'}));
-        } else if (message instanceof ClientMessage.Cancel cancel) {
-            cancel(cancel);
-            client.session.closeNow();
         } else if (message instanceof ClientMessage.Query query) {
             client.skipping = false;
             asked(client);
@@ -519,7 +532,7 @@
     /** Nothing more is owed for the statement of the session that this names. */
     private void cancel(ClientMessage.Cancel cancel) {
         slots.forEach(c -> {
-            if ((int) c.key == cancel.session() && c.secret == cancel.secret() && c.command != Slots.NONE) {
+            if (c.isNamedBy(cancel) && c.command != Slots.NONE) {
                 long command = c.command;
                 c.command = Slots.NONE;
                 busy(c, false);
--- a/src/main/java/cobaltseam/service/Commands.java
+++ b/src/main/java/cobaltseam/service/Commands.java
@@ -224,7 +224,7 @@
 
     /** Asks the module where a command goes, unless its client has left: nothing is begun for one that is gone. */
     private void place(InHand c, Command command) {
-        if (c.asker != null && c.asker.hasLeft()) {
+        if (isLeft(c)) {
             departed(c.key);
         } else {
             carryOut(c, () -> dispatcher.place(command, clock.now()));
@@ -248,6 +248,17 @@
         news = true;
     }
 
+    /** Whether its client has gone, though nothing was heard of that yet. */
+    private static boolean isLeft(InHand c) {
+        return c.asker != null && c.asker.hasLeft();
+    }
+
+    @Override
+    public boolean isWanted(Send send) {
+        InHand c = byId.get(send.command);
+        return c != null && c.out == send && c.asker != null && !isLeft(c);
+    }
+
     @Override
     public void progressed(Send send, double share, Moment now) {
         if (share >= 0) {
--- a/src/main/java/cobaltseam/service/Deadlines.java
+++ b/src/main/java/cobaltseam/service/Deadlines.java
@@ -43,6 +43,11 @@
         return set.isEmpty() || now.before(set.first().at) ? null : set.pollFirst().due;
     }
 
+    /** How long ago the first one was due; zero if none is. */
+    Span overdue(Moment now) {
+        return set.isEmpty() ? Span.ZERO : now.since(set.first().at).max(Span.ZERO);
+    }
+
     /** How long until the next one, or the span given where that is shorter. */
     Span untilNext(Moment now, Span most) {
         return set.isEmpty() ? most : set.first().at.since(now).max(Span.ZERO).min(most);
--- a/src/main/java/cobaltseam/service/Engines.java
+++ b/src/main/java/cobaltseam/service/Engines.java
@@ -43,6 +43,9 @@
         /** It stands still while a load holds what it reads. */
         void blocked(Send send, Moment now);
 
+        /** Whether anybody still waits for its answer, as far as the I/O thread has read. */
+        boolean isWanted(Send send);
+
         void ended(Send send, Ending ending, Moment now);
     }
 
@@ -68,6 +71,7 @@
     }
 
     private final SocketConnector connector;
+    private final Sockets sockets;
     private final Inbox inbox;
     private final Clock clock;
     private final Deadlines deadlines;
@@ -80,9 +84,10 @@
     private final Slots<EngineConnection> connections;
     private Listener listener;
 
-    Engines(Installation told, SocketConnector connector, Inbox inbox, Clock clock, Deadlines deadlines,
+    Engines(Installation told, SocketConnector connector, Sockets sockets, Inbox inbox, Clock clock, Deadlines deadlines,
             Counters counters) {
         this.connector = connector;
+        this.sockets = sockets;
         this.inbox = inbox;
         this.clock = clock;
         this.deadlines = deadlines;
@@ -125,10 +130,11 @@
             if (wrong != null) {
                 session.closeNow();
             }
-            inbox.post(session, () -> {
+            // Not at once: it may be followed by a retry, and the client's end may lie unread in the same round.
+            sockets.atRoundEnd(() -> inbox.post(session, () -> {
                 unheard.addAndGet(-bytes);
                 answered(connection(session), answers, wrong);
-            });
+            }));
         }
 
         @Override
@@ -289,10 +295,11 @@
             Moment now = clock.now();
             c.heard = now;
             for (Send send : List.copyOf(c.sends.values())) {
-                if (send.startBy == null || now.before(send.startBy)) {
+                // It may have waited too long for this connection: what engines remember of the send before may be gone.
+                boolean inTime = send.startBy == null || now.before(send.startBy);
+                if (inTime && listener.isWanted(send)) {
                     write(send, now);
                 } else {
-                    // It waited too long for this connection: what engines remember of the send before may be gone.
                     end(send, Ending.UNREACHABLE);
                 }
             }
--- a/src/main/java/cobaltseam/service/Inbox.java
+++ b/src/main/java/cobaltseam/service/Inbox.java
@@ -38,6 +38,11 @@
         });
     }
 
+    /** Tasks that were handed over and not taken yet. */
+    int size() {
+        return tasks.size();
+    }
+
     /** The next task, or null if none comes within this span. */
     Runnable next(Span most) throws InterruptedException {
         Runnable task = tasks.poll();
--- a/src/main/java/cobaltseam/service/Service.java
+++ b/src/main/java/cobaltseam/service/Service.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
 
 import cobaltseam.dispatch.Moment;
@@ -42,8 +43,13 @@
     /** A shutdown waits this long at most for clients to close, once nothing is owed to any. */
     private static final Span LEAVE_WITHIN = new Span(2_500_000);
     private static final Span LONGEST_WAIT = new Span(1_000_000);
+    /**
+     * A deadline that passed this long ago tells that the process was held up. Nothing may begin later than 0.1 s after its
+     * client has gone, so a client's end must not lie unread for longer than this.
+     */
+    private static final Span HELD_UP = new Span(50_000);
     private static final String HANG_UP = "HUP";
-    private static final int MOST_AT_ONCE = 1024;
+    static final int MOST_AT_ONCE = 1024;
     private static final int BACKLOG = 1024;
     private static final int LARGEST_READ = 1 << 14;
 
@@ -81,7 +87,7 @@
 
     Service(Installation told) {
         this.told = told;
-        engines = new Engines(told, toEngines, inbox, clock, deadlines, counters);
+        engines = new Engines(told, toEngines, processor, inbox, clock, deadlines, counters);
         commands = new Commands(told.deployment(), told.seed(), engines, deadlines, clock, counters);
         clients = new Clients(told, commands, new SplittableRandom(~told.seed()), processor, inbox, clock,
                 deadlines, counters);
@@ -320,12 +326,39 @@
     private void turn() throws InterruptedException {
         // All that has come is heard before a deadline acts on what has not, or is decided on: a process
         // that was held up would else give up sends whose answers lie here.
-        Runnable task = inbox.next(deadlines.untilNext(clock.now(), LONGEST_WAIT));
+        hear(deadlines.untilNext(clock.now(), LONGEST_WAIT));
+        if (deadlines.overdue(clock.now()).compareTo(HELD_UP) > 0 && hasConnections()) {
+            hearUnread();
+        }
+        doDue();
+        commands.follow();
+    }
+
+    /** Hears what was handed over, waiting this long at most for the first of it. */
+    private void hear(Span most) throws InterruptedException {
+        Runnable task = inbox.next(most);
         for (int heard = 1; task != null; task = heard++ < MOST_AT_ONCE ? inbox.next(Span.ZERO) : null) {
             look();
             task.run();
         }
         look();
+    }
+
+    private boolean hasConnections() {
+        return acceptor.getManagedSessionCount() + toEngines.getManagedSessionCount() + toBus.getManagedSessionCount() > 0;
+    }
+
+    /** Has the I/O thread read all that came while the process was held up, and hears it. */
+    private void hearUnread() throws InterruptedException {
+        AtomicBoolean allHeard = new AtomicBoolean();
+        processor.afterReading(() -> inbox.post(null, () -> allHeard.set(true)));
+        Moment by = clock.now().plus(LONGEST_WAIT);
+        for (Moment now = clock.now(); !allHeard.get() && now.before(by); now = clock.now()) {
+            hear(by.since(now));
+        }
+    }
+
+    private void doDue() {
         for (Runnable due = deadlines.due(clock.now()); due != null; due = deadlines.due(clock.now())) {
             try {
                 due.run();
@@ -334,7 +367,6 @@
                 LOG.log(Level.ERROR, "a fault at a deadline", e);
             }
         }
-        commands.follow();
     }
 
     /** Whether it was asked to stop, nothing is open, and its clients have gone or had long enough to go. */
--- a/src/test/java/cobaltseam/service/DepartureOrderTest.java
+++ b/src/test/java/cobaltseam/service/DepartureOrderTest.java
@@ -14,6 +14,8 @@
 class DepartureOrderTest extends ServiceRig {
     private static final int PAIRS = 8;
     private static final int LEAVERS = 20;
+    /** Longer than a retry is put off, and than a client may be gone when an attempt begins: the duration is the subject. */
+    private static final int GONE_FOR_MS = 200;
     /** Threads that one engine of these tests is given. */
     private static final int ROOM = 8;
 
@@ -138,6 +140,119 @@
         assertNoPull(crowded.relieve());
     }
 
+    /** The connection comes up, then the client leaves, and the thread that decides is late: it hears of the connection first. */
+    @Test
+    void aConnectionThatComesUpBeforeTheEndOfItsClientIsHeardBringsNothing() throws Exception {
+        Crowded crowded = new Crowded();
+        start(ServiceRig::patient, SOCKETS, IDLE_MS, crowded.address());
+        Client watch = new Client();
+        Client leaver = new Client(heavy(1));
+        await(watch, "sends|1");
+        CountDownLatch held = holdUp();
+        Peer engine = crowded.relieve();
+        awaitHandedOver();
+        leaver.close();
+        awaitRead();
+        held.countDown();
+        await(watch, "commands_departed|1");
+        assertNoPull(engine);
+    }
+
+    /** The engine fails, then the client leaves, and the thread that decides is late: it hears of the failure first. */
+    @Test
+    void aFailureHeardBeforeTheEndOfItsClientIsNotFollowedByARetry() throws Exception {
+        Peer one = new Peer(true);
+        Peer two = new Peer(true);
+        start(one, two);
+        Client watch = new Client();
+        Client leaver = new Client(look(1, 20_000));
+        Message pull = poll(one, two);
+        CountDownLatch held = holdUp();
+        pull.reset();
+        awaitRead();
+        leaver.close();
+        awaitRead();
+        held.countDown();
+        await(watch, "commands_departed|1");
+        assertNoPull(one);
+        assertNoPull(two);
+    }
+
+    /** The same with a cancel request that was read and not heard yet; after it the session goes on. */
+    @Test
+    void aFailureHeardBeforeTheCancelRequestIsNotFollowedByARetry() throws Exception {
+        Peer one = new Peer(true);
+        Peer two = new Peer(true);
+        start(one, two);
+        Client client = new Client(look(1, 20_000));
+        Message pull = poll(one, two);
+        try (Socket cancel = new Socket(service.address().getAddress(), service.address().getPort())) {
+            await(new Client(), "clients_opened|3");
+            CountDownLatch held = holdUp();
+            pull.reset();
+            awaitRead();
+            CountDownLatch heldSockets = holdUpSocketsOnceRead(() -> cancel.getOutputStream().write(client.cancelRequest()));
+            held.countDown();
+            Thread.sleep(GONE_FOR_MS);
+            heldSockets.countDown();
+            Client watch = new Client();
+            await(watch, "commands_departed|1");
+            assertTrue(watch.ask("SHOW cobaltseam.counters").contains("sends|1"), "it was sent again");
+        }
+        client.query(client.out, look(2, 20_000));
+        Message next = poll(one, two);
+        assertEquals("%016x".formatted(2), next.id());
+        next.answer(next.id(), "200", "pages=1", ROWS);
+        assertEquals("SELECT 2", client.told().get(2));
+    }
+
+    /** Refusals of engines and the ends of their clients lie unread together, and the thread that decides goes on between the two. */
+    @Test
+    void refusalsReadTogetherWithTheEndsOfTheirClientsAreNotFollowedByRetries() throws Exception {
+        Peer one = new Peer(true);
+        Peer two = new Peer(true);
+        start(one, two);
+        Client watch = new Client();
+        Client stops = new Client();
+        List<Client> leavers = new ArrayList<>();
+        List<Message> out = new ArrayList<>();
+        for (int i = 0; i < PAIRS; i++) {
+            leavers.add(new Client(look(i, 20_000)));
+            out.add(poll(one, two));
+        }
+        CountDownLatch held = holdUpSockets();
+        HoldsInRound round = new HoldsInRound(stops);
+        for (int i = 0; i < PAIRS; i++) {
+            out.get(i).answer(out.get(i).id(), "503", "-", "");
+            leavers.get(i).close();
+        }
+        stops.query(stops.out, "");
+        held.countDown();
+        round.holds.await();
+        Thread.sleep(GONE_FOR_MS);
+        round.held.countDown();
+        await(watch, "commands_departed|" + PAIRS);
+        assertTrue(watch.ask("SHOW cobaltseam.counters").contains("sends|" + PAIRS), "one was sent again");
+    }
+
+    /** A cancel request counts though its connection has closed right behind it, as many clients do. */
+    @Test
+    void aCancelRequestWhoseConnectionClosesRightBehindItIsHeard() throws Exception {
+        Peer engine = new Peer(true);
+        start(engine);
+        Client client = new Client(heavy(1));
+        engine.next("PULL");
+        Client watch = new Client();
+        Socket cancel = new Socket(service.address().getAddress(), service.address().getPort());
+        await(watch, "clients_opened|3");
+        CountDownLatch held = holdUpSockets();
+        cancel.getOutputStream().write(client.cancelRequest());
+        cancel.close();
+        held.countDown();
+        engine.next("closed");
+        await(watch, "commands_departed|1");
+    }
+
     /** The answer comes in the same turn as the end of its client: it goes nowhere, and the next one gets its own. */
     @Test
     void anAnswerThatComesWithTheEndOfItsClientGoesNowhere() throws Exception {
--- a/src/test/java/cobaltseam/service/ServiceRig.java
+++ b/src/test/java/cobaltseam/service/ServiceRig.java
@@ -28,6 +28,8 @@
 
 import cobaltseam.deployment.Fields;
 import com.fasterxml.jackson.core.JsonFactory;
+import org.apache.mina.core.filterchain.IoFilterAdapter;
+import org.apache.mina.core.session.IoSession;
 import org.junit.jupiter.api.AfterEach;
 
 /**
@@ -411,6 +413,44 @@
         return held;
     }
 
+    /** Has the I/O thread write this to a peer, read what follows from it, and holds that thread up before it is handed over. */
+    CountDownLatch holdUpSocketsOnceRead(Task write) throws InterruptedException {
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch holds = new CountDownLatch(1);
+        service.processor.afterReading(() -> {
+            try {
+                write.run();
+            } catch (IOException e) {
+                throw new AssertionError(e);
+            }
+            service.processor.afterReading(() -> {
+                holds.countDown();
+                awaitQuietly(held);
+            });
+        });
+        holds.await();
+        return held;
+    }
+
+    /** Holds up the thread that reads all sockets when it comes to what this client says next, in the middle of a round. */
+    final class HoldsInRound extends IoFilterAdapter {
+        final CountDownLatch holds = new CountDownLatch(1);
+        final CountDownLatch held = new CountDownLatch(1);
+
+        HoldsInRound(Client client) {
+            service.acceptor.getManagedSessions().values().stream()
+                    .filter(s -> s.getRemoteAddress().equals(client.socket.getLocalSocketAddress()))
+                    .forEach(s -> s.getFilterChain().addLast("holds", this));
+        }
+
+        @Override
+        public void messageReceived(NextFilter next, IoSession session, Object message) {
+            holds.countDown();
+            awaitQuietly(held);
+            next.messageReceived(session, message);
+        }
+    }
+
     /** Returns when all that peers had written before this was called has been read and handed over. */
     void awaitRead() throws InterruptedException {
         for (int round = 0; round < 3; round++) {
@@ -428,10 +468,34 @@
         }
     }
 
-    /** Holds up the thread that owns the state until this is counted down. */
-    CountDownLatch holdUp() {
+    /** Holds up the thread that owns the state, from when this returns until it is counted down. */
+    CountDownLatch holdUp() throws InterruptedException {
         CountDownLatch held = new CountDownLatch(1);
-        service.inbox.post(null, () -> awaitQuietly(held));
+        CountDownLatch holds = new CountDownLatch(1);
+        service.inbox.post(null, () -> {
+            holds.countDown();
+            awaitQuietly(held);
+        });
+        holds.await();
         return held;
     }
+
+    /** Returns when something was handed over to the thread that owns the state, which is held up. */
+    void awaitHandedOver() throws InterruptedException {
+        for (int i = 0; service.inbox.size() == 0; i++) {
+            assertTrue(i < SOON_S * 1000, "nothing was handed over");
+            Thread.sleep(1);
+        }
+    }
+
+    /** Returns when the thread that owns the state has gone through a turn since this was called, and done what was due. */
+    void awaitTurn() throws InterruptedException {
+        CountDownLatch heard = new CountDownLatch(1);
+        // More than are heard in one turn: the last one is heard after the first turn has ended.
+        for (int i = 0; i < Service.MOST_AT_ONCE; i++) {
+            service.inbox.post(null, () -> { });
+        }
+        service.inbox.post(null, heard::countDown);
+        heard.await();
+    }
 }
--- a/src/test/java/cobaltseam/service/ServiceTest.java
+++ b/src/test/java/cobaltseam/service/ServiceTest.java
@@ -103,6 +103,25 @@
         assertTrue(engine.heard.isEmpty(), "the send was given up with its answer there");
     }
 
+    /** The whole process stood still: the answer lies unread in the machine's buffers when the time for it is over. */
+    @Test
+    void whatLiesUnreadIsReadBeforeADeadlineThatPassedMeanwhileActs() throws Exception {
+        Peer engine = new Peer(true);
+        start(engine);
+        Client client = new Client(command("look", 1, 3000));
+        Message pull = engine.next("PULL");
+        CountDownLatch held = holdUp();
+        CountDownLatch heldSockets = holdUpSockets();
+        pull.answer(pull.id(), "200", "pages=1", ROWS);
+        // Longer than an answer is waited for; the duration is the subject.
+        Thread.sleep(1000);
+        held.countDown();
+        awaitTurn();
+        heldSockets.countDown();
+        assertEquals("SELECT 2", client.told().get(2));
+        assertTrue(engine.heard.isEmpty(), "the send was given up with its answer there");
+    }
+
     @Test
     void refusedConnectionsProveThatNothingRan() throws Exception {
         try (ServerSocket closed = new ServerSocket(0)) {
