A member hears nothing before its start; an engine's answer is heard before its connection's end

Line at fault: Members.open posted the module's start after the socket was open, so a message could be heard first. One that tells of a suspicion then met no round: Suspicion.wake compared with null, and the fault ended membership for good while the process served on. The test class now fails with the errors that processes logged. Ruled out: the relays (their thread was alive in thread dumps) and ports taken by others (seen only with four fleets run side by side).

At fault: sessionClosed still posted at once, so that the end of a connection overtook the answer read right before it, and the request counted as cut. The new test fails without it ("Index 2 out of bounds").

--- a/src/main/java/cobaltseam/fleet/RealFleet.java
+++ b/src/main/java/cobaltseam/fleet/RealFleet.java
@@ -101,6 +101,7 @@
     private final One[] all;
     private final int[] ports;
     private final List<Happening> happenings = new ArrayList<>();
+    private final List<String> errors = new ArrayList<>();
     private final List<String> acts = new ArrayList<>();
     private final List<Acted> actings = new ArrayList<>();
     private final Parts parts = new Parts();
@@ -282,6 +283,9 @@
         One one = all[i];
         String event = line.path("event").asText();
         one.events.merge(event, 1, Integer::sum);
+        if (line.path("level").asText().equals("ERROR")) {
+            errors.add(name(i) + ": " + line);
+        }
         boolean former = start != one.starts;
         if (event.equals("membership.opened") && !former) {
             one.birth = line.path("birth").asLong();
@@ -369,6 +373,11 @@
         return List.copyOf(happenings);
     }
 
+    /** What processes logged as errors: a fault of a part ends that part while the process serves on. */
+    public synchronized List<String> errors() {
+        return List.copyOf(errors);
+    }
+
     public synchronized String standing(int i) {
         return all[i].standing;
     }
--- a/src/main/java/cobaltseam/service/Engines.java
+++ b/src/main/java/cobaltseam/service/Engines.java
@@ -140,7 +140,8 @@
         @Override
         public void sessionClosed(IoSession session) {
             long written = session.getWrittenMessages();
-            inbox.post(null, () -> closed(connection(session), written));
+            // Nor may this overtake an answer that was read right before it.
+            sockets.atRoundEnd(() -> inbox.post(null, () -> closed(connection(session), written)));
         }
 
         @Override
--- a/src/main/java/cobaltseam/service/Members.java
+++ b/src/main/java/cobaltseam/service/Members.java
@@ -164,6 +164,8 @@
             shows("spread", this::spreadRows);
         }
         shows("members", this::rows);
+        // Before anything else can be handed over: a message that the socket brings, or a hang-up, may not be heard first.
+        inbox.post(null, () -> act(() -> ground.start(clock.now())));
     }
 
     /** Whether parts of the engines follow demand. */
@@ -246,7 +248,6 @@
             LOG.log(Level.INFO, "nothing is agreed here yet: the own settings are read cautiously", Field.event("agreement.starts_back"));
         }
         publish();
-        inbox.post(null, () -> act(() -> ground.start(clock.now())));
         Thread thread = new Thread(this::run, "fleet");
         thread.setDaemon(true);
         thread.start();
--- a/src/test/java/cobaltseam/fleet/RealFleetTest.java
+++ b/src/test/java/cobaltseam/fleet/RealFleetTest.java
@@ -43,7 +43,9 @@
         List<String> broken;
         long from = System.nanoTime();
         do {
-            assertTrue(fleet.awaitSettled(LONG_S) >= 0, "not one view of the living: " + fleet.happenings());
+            boolean settled = fleet.awaitSettled(LONG_S) >= 0;
+            assertEquals(List.of(), fleet.errors());
+            assertTrue(settled, "not one view of the living: " + fleet.happenings());
             broken = List.copyOf(Checker.check(fleet.happenings(), fleet.live(), true));
             Thread.sleep(broken.isEmpty() ? 0 : 50);
         } while (!broken.isEmpty() && System.nanoTime() - from < LONG_S * 1e9);
--- a/src/test/java/cobaltseam/service/AnswerOrderTest.java
+++ b/src/test/java/cobaltseam/service/AnswerOrderTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 
 import org.junit.jupiter.api.Test;
 
@@ -14,6 +15,22 @@
         pull.answer(pull.id(), "200", "pages=1", ROWS);
     }
 
+    /** The engine answers and closes, and both are read together: the answer counts, and nothing is sent again. */
+    @Test
+    void anAnswerWithTheEndOfItsConnectionRightBehindItCounts() throws Exception {
+        Peer one = new Peer(true);
+        Peer two = new Peer(true);
+        start(one, two);
+        Client client = new Client(look(1, 10_000));
+        Message pull = poll(one, two);
+        CountDownLatch held = holdUpSockets();
+        answerWell(pull);
+        pull.from().close();
+        held.countDown();
+        assertEquals("SELECT 2", client.told().get(2));
+        assertTrue(client.ask("SHOW cobaltseam.counters").contains("sends|1"), "it was sent again");
+    }
+
     /** The first page alone is no answer: it is passed on with all others or not at all. */
     @Test
     void anAnswerThatBreaksOffBetweenItsPagesIsAskedForAgainWhereThatIsAllowed() throws Exception {
