--- a/src/test/java/cobaltseam/service/ListWatchOrderTest.java
+++ b/src/test/java/cobaltseam/service/ListWatchOrderTest.java
@@ -6,14 +6,22 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import sun.misc.Signal;
 
 /** The watch on the list of engines, when it is silent, behind, or told in another order. */
 class ListWatchOrderTest extends ServiceRig {
     private static final int FEW_SOCKETS = 48;
     private final String drained = "terminating";
+    @TempDir
+    Path folder;
 
     private void assertGoesTo(Peer expected, Peer other) throws Exception {
         Client client = new Client(command("once", 1, 5000));
@@ -37,6 +45,69 @@
         assertGoesTo(one, two);
     }
 
+    private void reload(String configuration) throws Exception {
+        Path file = Files.writeString(folder.resolve("configuration.json"), configuration);
+        service.readAnewOnHangUp(Map.of("GW_CONFIG", file.toString()));
+        Signal.raise(new Signal("HUP"));
+    }
+
+    private String moved(Peer bus, Peer one, Peer two) {
+        return configuration(bus.address(), SOCKETS, IDLE_MS, target(1, one.address(), "in_service"),
+                target(2, two.address(), "in_service"));
+    }
+
+    /** The drain was told by the former bus, behind the reload that moves to another: it is asked for there. */
+    @Test
+    void aDrainToldRightBehindAReloadThatMovesDiscoveryIsHeard() throws Exception {
+        Peer one = new Peer(true);
+        Peer two = new Peer(true);
+        Peer former = start(one, two);
+        Message watch = former.next("from 7");
+        Peer bus = new Peer(false);
+        Client client = new Client();
+        CountDownLatch held = holdUp();
+        reload(moved(bus, one, two));
+        awaitHandedOver();
+        watch.say(event(8, false, target(2, two.address(), drained)) + "\n");
+        awaitRead();
+        held.countDown();
+        bus.next("from 7").say(event(8, false, target(2, two.address(), drained)) + "\n");
+        await(client, "bus_events|1");
+        assertGoesTo(one, two);
+    }
+
+    /** The reload names a list from before the drain: that undoes nothing. */
+    @Test
+    void aReloadRightBehindADrainDoesNotUndoIt() throws Exception {
+        Peer one = new Peer(true);
+        Peer two = new Peer(true);
+        Peer former = start(one, two);
+        Message watch = former.next("from 7");
+        Peer bus = new Peer(false);
+        Client client = new Client();
+        CountDownLatch held = holdUp();
+        watch.say(event(8, false, target(2, two.address(), drained)) + "\n");
+        awaitRead();
+        reload(moved(bus, one, two));
+        held.countDown();
+        bus.next("from 8");
+        await(client, "configurations_read|1");
+        assertGoesTo(one, two);
+    }
+
+    /** The reload itself tells of the drain, before any bus does. */
+    @Test
+    void aDrainThatAReloadTellsActsAtOnce() throws Exception {
+        Peer one = new Peer(true);
+        Peer two = new Peer(true);
+        start(one, two).next("from 7");
+        Peer bus = new Peer(false);
+        reload(configuration(bus.address(), SOCKETS, IDLE_MS, target(1, one.address(), "in_service"),
+                target(2, two.address(), drained)).replace("\"offset\":7", "\"offset\":8"));
+        bus.next("from 8");
+        assertGoesTo(one, two);
+    }
+
     /** What can't be had is given up all the same, or one event that is lost for good would hold up all others. */
     @Test
     void aNumberThatIsRepeatedWithoutItsEventIsTaken() throws Exception {
--- a/src/test/java/cobaltseam/service/ShutdownOrderTest.java
+++ b/src/test/java/cobaltseam/service/ShutdownOrderTest.java
@@ -14,6 +14,9 @@
 /** A shutdown that crosses what clients write, and closes that cross unread bytes. */
 class ShutdownOrderTest extends ServiceRig {
     private static final int END = -1;
+    private static final int SMALL_BUFFER = 4096;
+    /** Rows of an answer that no socket takes in one write while its reader rests. */
+    private static final int MANY_ROWS = 30_000;
     /** How long after SIGTERM a process may be killed at the earliest. */
     private static final long LAST_MOMENT_NANOS = 3_700_000_000L;
 
@@ -39,6 +42,24 @@
         assertEnds(shutDown());
     }
 
+    /** The client is slow to read: a part of its answer is still to be written when the shutdown comes. */
+    @Test
+    void anAnswerHalfWrittenWhenTheShutdownComesGoesOutWhole() throws Exception {
+        Peer engine = new Peer(true);
+        start(engine);
+        service.acceptor.getSessionConfig().setSendBufferSize(SMALL_BUFFER);
+        Client slow = new Client(look(1, 20_000));
+        Message out = engine.next("PULL");
+        out.answer(out.id(), "200", "pages=1", "a\n".repeat(MANY_ROWS));
+        await(new Client(), "commands_answered|1");
+        assertTrue(service.acceptor.getScheduledWriteBytes() > 0, "the answer was written at once");
+        Thread stop = shutDown();
+        List<String> told = slow.told();
+        assertEquals("SELECT " + MANY_ROWS, told.get(told.size() - 1));
+        assertEquals(END, slow.in.read(), "an end, not a reset");
+        assertEnds(stop);
+    }
+
     /** Sent on, it would keep the process until it is killed, with this or the next statement unanswered. */
     @Test
     void aStatementReadAfterTheShutdownIsRefusedAtOnceAndNeverSentOn() throws Exception {
