--- a/src/main/java/cobaltseam/service/Door.java
+++ b/src/main/java/cobaltseam/service/BoundedAcceptor.java
@@ -12,7 +12,7 @@
  * has closed, or a while has passed. Connections that come by hundreds would otherwise take the descriptors
  * that the engines' connections need, before anything can give way.
  */
-final class Door extends NioSocketAcceptor {
+final class BoundedAcceptor extends NioSocketAcceptor {
     private static final int WAIT_MS = 20;
 
     private final Object changed = new Object();
@@ -20,7 +20,7 @@
     private int open;
     private int waits;
 
-    Door(Executor threads, IoProcessor<NioSession> processor, int most) {
+    BoundedAcceptor(Executor threads, IoProcessor<NioSession> processor, int most) {
         super(threads, processor);
         this.most = most;
     }
--- a/src/main/java/cobaltseam/service/Clients.java
+++ b/src/main/java/cobaltseam/service/Clients.java
@@ -65,7 +65,7 @@
     private static final int US_PER_MS = 1000;
 
     /** One connection. The parser belongs to the I/O thread, all else to the one that owns the state. */
-    private final class Client implements Commands.Asker {
+    private final class Client implements Commands.ResponseHandle {
         final IoSession session;
         final ClientParser parser = new ClientParser();
         final Deque<Heard> waiting = new ArrayDeque<>();
@@ -182,7 +182,7 @@
     private Gate gate;
     private final Map<String, Supplier<List<String[]>>> shown = new HashMap<>();
 
-    Clients(Installation told, Commands commands, RandomGenerator secrets, Sockets sockets, Inbox inbox,
+    Clients(ServiceConfiguration told, Commands commands, RandomGenerator secrets, Sockets sockets, Inbox inbox,
             Clock clock, Deadlines deadlines, Counters counters) {
         this.commands = commands;
         this.secrets = secrets;
@@ -203,11 +203,11 @@
      * More than the third of the descriptors that is the usual clients', and less than the half that may be
      * accepted: one that comes at the bound is accepted at once, and makes the longest idle give way.
      */
-    private static int mostClients(Installation told) {
+    private static int mostClients(ServiceConfiguration told) {
         return told.sockets() * 5 / 12;
     }
 
-    static int mostAccepted(Installation told) {
+    static int mostAccepted(ServiceConfiguration told) {
         return told.sockets() / 2;
     }
 
--- a/src/main/java/cobaltseam/service/Commands.java
+++ b/src/main/java/cobaltseam/service/Commands.java
@@ -30,7 +30,7 @@
 /** The commands in hand: asks the module for each, and carries out what it says. */
 final class Commands implements Engines.Listener {
     /** Who waits for the final answer of a command. */
-    interface Asker {
+    interface ResponseHandle {
         void answered(Result result);
 
         void shed(Span comeBack);
@@ -52,7 +52,7 @@
         long key;
         CommandId id;
         Statement statement;
-        Asker asker;
+        ResponseHandle responseHandle;
         int sends;
         Send out;
     }
@@ -151,7 +151,7 @@
     /** Sends nothing more for a command: held, it is given up at once; out, its answer still counts. */
     void withdraw(long key) {
         InHand c = slots.get(key);
-        if (c != null && c.asker != null) {
+        if (c != null && c.responseHandle != null) {
             counters.add(Count.MASTERSHIP_COMMANDS_WITHDRAWN);
             Span left = dispatcher.withdrawn(c.id, clock.now());
             if (c.out != null && left != null) {
@@ -177,10 +177,10 @@
         return byId.isEmpty();
     }
 
-    void listed(Roster roster) {
-        engines.listed(roster);
+    void listed(TopologyEvent event) {
+        engines.listed(event);
         Moment now = clock.now();
-        dispatcher.listed(roster.list(), roster.whole(), now);
+        dispatcher.listed(event.list(), event.whole(), now);
         news = true;
     }
 
@@ -196,11 +196,11 @@
     }
 
     /** Takes in a command that can be used. Its key, or NONE where none is free. It awaits {@link #start}. */
-    long take(Statement s, Asker asker) {
+    long take(Statement s, ResponseHandle responseHandle) {
         InHand c = new InHand();
         c.id = new CommandId(s.call());
         c.statement = s;
-        c.asker = asker;
+        c.responseHandle = responseHandle;
         c.key = slots.take(c);
         if (c.key != Slots.NONE) {
             counters.add(Count.COMMANDS_TAKEN);
@@ -209,7 +209,7 @@
         return c.key;
     }
 
-    /** Asks the module for a command that was read whole at this moment; its asker may hear at once. */
+    /** Asks the module for a command that was read whole at this moment; its response handle may hear at once. */
     void start(long key, Moment read) {
         InHand c = slots.get(key);
         Statement s = c.statement;
@@ -234,11 +234,11 @@
     /** Nobody waits for this command any more. */
     void departed(long key) {
         InHand c = slots.get(key);
-        if (c == null || c.asker == null) {
+        if (c == null || c.responseHandle == null) {
             return;
         }
         counters.add(Count.COMMANDS_DEPARTED);
-        c.asker = null;
+        c.responseHandle = null;
         dispatcher.departed(c.id, clock.now());
         if (c.out != null) {
             engines.callOff(c.out);
@@ -250,13 +250,13 @@
 
     /** Whether its client has gone, though nothing was heard of that yet. */
     private static boolean isLeft(InHand c) {
-        return c.asker != null && c.asker.hasLeft();
+        return c.responseHandle != null && c.responseHandle.hasLeft();
     }
 
     @Override
     public boolean isWanted(Send send) {
         InHand c = byId.get(send.command);
-        return c != null && c.out == send && c.asker != null && !isLeft(c);
+        return c != null && c.out == send && c.responseHandle != null && !isLeft(c);
     }
 
     @Override
@@ -288,9 +288,9 @@
         if (reports != null && send.inHand >= 0) {
             reports.heard(send.engine, Math.max(0, send.inHand - Math.max(0, send.queue)), now);
         }
-        Asker answered = ending == Ending.ANSWERED ? c.asker : null;
-        c.asker = ending == Ending.ANSWERED ? null : c.asker;
-        boolean over = c.asker == null;
+        ResponseHandle answered = ending == Ending.ANSWERED ? c.responseHandle : null;
+        c.responseHandle = ending == Ending.ANSWERED ? null : c.responseHandle;
+        boolean over = c.responseHandle == null;
         Outcome outcome = new Outcome(c.id, send.number, send.engine, ending, now.since(send.at), over,
                 new Span(-1), -1, send.queue, send.inHand);
         carryOut(c, () -> dispatcher.after(outcome, now));
@@ -367,7 +367,7 @@
             p = Placement.fail();
             deadlines.set(clock.now(), () -> dispatcher.departed(c.id, clock.now()));
         }
-        if (c == null || c.asker == null) {
+        if (c == null || c.responseHandle == null) {
             return;
         }
         switch (p.verdict()) {
@@ -377,16 +377,16 @@
             case SHED -> {
                 denied(c);
                 counters.add(Count.COMMANDS_SHED);
-                Asker asker = c.asker;
+                ResponseHandle responseHandle = c.responseHandle;
                 forget(c);
-                asker.shed(p.comeBack());
+                responseHandle.shed(p.comeBack());
             }
             case FAIL -> {
                 denied(c);
                 counters.add(Count.COMMANDS_FAILED);
-                Asker asker = c.asker;
+                ResponseHandle responseHandle = c.responseHandle;
                 forget(c);
-                asker.failed();
+                responseHandle.failed();
             }
             default -> { }
         }
--- a/src/main/java/cobaltseam/service/Engines.java
+++ b/src/main/java/cobaltseam/service/Engines.java
@@ -60,7 +60,7 @@
     private static final double BLOCKED_BY_A_LOAD = 2;
 
     /** One engine of the list. */
-    private static final class Machine {
+    private static final class EngineState {
         InetSocketAddress address;
         Listing.Standing standing;
         /** When its process started, as the list has it. */
@@ -80,11 +80,11 @@
     private Span connectTimeout;
     private Span idle;
     private int sendsPerConnection;
-    private final Map<EngineId, Machine> machines = new HashMap<>();
+    private final Map<EngineId, EngineState> states = new HashMap<>();
     private final Slots<EngineConnection> connections;
     private Listener listener;
 
-    Engines(Installation told, SocketConnector connector, Sockets sockets, Inbox inbox, Clock clock, Deadlines deadlines,
+    Engines(ServiceConfiguration told, SocketConnector connector, Sockets sockets, Inbox inbox, Clock clock, Deadlines deadlines,
             Counters counters) {
         this.connector = connector;
         this.sockets = sockets;
@@ -103,7 +103,7 @@
     }
 
     /** Takes over what is told of connections. */
-    void renewed(Installation told) {
+    void renewed(ServiceConfiguration told) {
         connectTimeout = told.connectTimeout();
         idle = told.connectionIdle().times(IDLE_USED);
         sendsPerConnection = told.sendsPerConnection();
@@ -156,23 +156,23 @@
 
     // ---- the list
 
-    void listed(Roster roster) {
-        if (roster.whole()) {
-            Set<EngineId> named = roster.list().stream().map(Listing::engine).collect(Collectors.toSet());
-            machines.forEach((engine, machine) -> machine.standing =
-                    named.contains(engine) ? machine.standing : Listing.Standing.GONE);
-        }
-        for (Listing line : roster.list()) {
-            Machine machine = machines.computeIfAbsent(line.engine(), e -> new Machine());
-            boolean changed = line.standing() != machine.standing || !line.started().equals(machine.started);
-            machine.standing = line.standing();
-            machine.started = line.started();
-            InetSocketAddress address = roster.addresses().get(line.engine());
+    void listed(TopologyEvent event) {
+        if (event.whole()) {
+            Set<EngineId> named = event.list().stream().map(Listing::engine).collect(Collectors.toSet());
+            states.forEach((engine, state) -> state.standing =
+                    named.contains(engine) ? state.standing : Listing.Standing.GONE);
+        }
+        for (Listing line : event.list()) {
+            EngineState state = states.computeIfAbsent(line.engine(), e -> new EngineState());
+            boolean changed = line.standing() != state.standing || !line.started().equals(state.started);
+            state.standing = line.standing();
+            state.started = line.started();
+            InetSocketAddress address = event.addresses().get(line.engine());
             if (address != null) {
-                machine.address = address;
+                state.address = address;
             }
             // Connections to an earlier life of the process may stay open and silent.
-            for (EngineConnection c : List.copyOf(machine.connections)) {
+            for (EngineConnection c : List.copyOf(state.connections)) {
                 if (line.standing() == Listing.Standing.UP && c.opened.before(line.started())) {
                     drop(c);
                 } else if (changed && c.session == null) {
@@ -181,13 +181,13 @@
                 }
             }
         }
-        for (Machine machine : List.copyOf(machines.values())) {
-            if (machine.standing == Listing.Standing.GONE) {
-                List.copyOf(machine.connections).stream().filter(c -> c.sends.isEmpty() || c.session == null)
+        for (EngineState state : List.copyOf(states.values())) {
+            if (state.standing == Listing.Standing.GONE) {
+                List.copyOf(state.connections).stream().filter(c -> c.sends.isEmpty() || c.session == null)
                         .forEach(this::drop);
             }
         }
-        machines.values().removeIf(m -> m.standing == Listing.Standing.GONE && m.connections.isEmpty());
+        states.values().removeIf(m -> m.standing == Listing.Standing.GONE && m.connections.isEmpty());
     }
 
     // ---- sends
@@ -198,9 +198,9 @@
         Send send = new Send(command, number, engine, statement, now, now.plus(placement.sendTimeout()));
         send.startBy = placement.startWithin() == null ? null : now.plus(placement.startWithin());
         counters.add(Count.SENDS);
-        Machine machine = machines.get(engine);
-        EngineConnection connection = machine == null || machine.address == null ? null
-                : pick(machine, engine, send.call(), now);
+        EngineState state = states.get(engine);
+        EngineConnection connection = state == null || state.address == null ? null
+                : pick(state, engine, send.call(), now);
         if (connection == null) {
             send.timeout = deadlines.set(now, () -> end(send, Ending.UNREACHABLE));
             return send;
@@ -232,13 +232,13 @@
 
     /** Engines that may be sent to, as the list has them. */
     int inService() {
-        return (int) machines.values().stream().filter(m -> m.standing == Listing.Standing.UP).count();
+        return (int) states.values().stream().filter(m -> m.standing == Listing.Standing.UP).count();
     }
 
     /** The share of those to which the last connection or send failed, from 0 to 1. */
     double failing() {
         int up = inService();
-        return up == 0 ? 0 : (double) machines.values().stream()
+        return up == 0 ? 0 : (double) states.values().stream()
                 .filter(m -> m.standing == Listing.Standing.UP && m.failed).count() / up;
     }
 
@@ -251,9 +251,9 @@
      * more can be had is one shared. A send that is alone is given up by closing its connection, which
      * holds also where an engine has gone silent, and cuts no other.
      */
-    private EngineConnection pick(Machine machine, EngineId engine, String id, Moment now) {
+    private EngineConnection pick(EngineState state, EngineId engine, String id, Moment now) {
         EngineConnection unused = null;
-        for (EngineConnection c : List.copyOf(machine.connections)) {
+        for (EngineConnection c : List.copyOf(state.connections)) {
             if (c.sends.isEmpty() && idle.isPositive() && now.since(c.idleSince).compareTo(idle) > 0) {
                 drop(c);
             } else if (c.sends.isEmpty() && c.takes(id, sendsPerConnection)
@@ -261,19 +261,19 @@
                 unused = c;
             }
         }
-        EngineConnection own = unused == null ? open(machine, engine, now) : unused;
-        return own != null ? own : machine.connections.stream().filter(c -> c.takes(id, sendsPerConnection))
+        EngineConnection own = unused == null ? open(state, engine, now) : unused;
+        return own != null ? own : state.connections.stream().filter(c -> c.takes(id, sendsPerConnection))
                 .min(Comparator.comparingInt(c -> c.sends.size())).orElse(null);
     }
 
-    private EngineConnection open(Machine machine, EngineId engine, Moment now) {
+    private EngineConnection open(EngineState state, EngineId engine, Moment now) {
         EngineConnection c = new EngineConnection(engine, now);
         c.key = connections.take(c);
         if (c.key == Slots.NONE) {
             return null;
         }
-        machine.connections.add(c);
-        c.future = connector.connect(machine.address, (session, future) -> session.setAttribute(CONNECTION, c));
+        state.connections.add(c);
+        c.future = connector.connect(state.address, (session, future) -> session.setAttribute(CONNECTION, c));
         c.connectTimeout = deadlines.set(now.plus(connectTimeout), () -> {
             c.future.cancel();
             failed(c);
@@ -323,9 +323,9 @@
     }
 
     private void mark(EngineConnection c, boolean failed) {
-        Machine machine = machines.get(c.engine);
-        if (machine != null) {
-            machine.failed = failed;
+        EngineState state = states.get(c.engine);
+        if (state != null) {
+            state.failed = failed;
         }
     }
 
@@ -346,9 +346,9 @@
     private void remove(EngineConnection c, long written) {
         deadlines.cancel(c.connectTimeout);
         connections.free(c.key);
-        Machine machine = machines.get(c.engine);
-        if (machine != null) {
-            machine.connections.remove(c);
+        EngineState state = states.get(c.engine);
+        if (state != null) {
+            state.connections.remove(c);
         }
         for (Send send : List.copyOf(c.sends.values())) {
             boolean neverRan = send.position == 0 || send.position > written;
@@ -399,8 +399,8 @@
             c.sends.remove(send.call());
             if (c.sends.isEmpty()) {
                 c.idleSince = now;
-                Machine machine = machines.get(c.engine);
-                if (machine != null && machine.standing == Listing.Standing.GONE) {
+                EngineState state = states.get(c.engine);
+                if (state != null && state.standing == Listing.Standing.GONE) {
                     drop(c);
                 }
             }
@@ -414,9 +414,9 @@
 
     /** Asks an engine whether its connection works. */
     void probe(EngineId engine, Moment now) {
-        Machine machine = machines.get(engine);
-        if (machine != null && machine.address != null) {
-            EngineConnection c = pick(machine, engine, "", now);
+        EngineState state = states.get(engine);
+        if (state != null && state.address != null) {
+            EngineConnection c = pick(state, engine, "", now);
             if (c != null && c.session != null) {
                 c.write(EngineCommands.echo("probe"));
             }
--- a/src/main/java/cobaltseam/service/EventBus.java
+++ b/src/main/java/cobaltseam/service/EventBus.java
@@ -40,7 +40,7 @@
     private final Deadlines deadlines;
     private final Counters counters;
     private final BoundedLog log;
-    private final Consumer<Roster> listener;
+    private final Consumer<TopologyEvent> listener;
     private final JsonFactory json = new JsonFactory();
     private long last;
     private long askedAnewFrom = -1;
@@ -55,8 +55,8 @@
     private Moment askedAt;
     private boolean numberHeard;
 
-    EventBus(Installation told, SocketConnector connector, Inbox inbox, Clock clock, Deadlines deadlines,
-             Counters counters, Consumer<Roster> listener) {
+    EventBus(ServiceConfiguration told, SocketConnector connector, Inbox inbox, Clock clock, Deadlines deadlines,
+             Counters counters, Consumer<TopologyEvent> listener) {
         address = told.bus();
         last = told.knownOffset();
         this.connector = connector;
@@ -150,8 +150,8 @@
     }
 
     /** Events told by other means: of these, each that follows what is known, or tells the whole list. */
-    void told(List<Roster> events) {
-        for (Roster event : events) {
+    void told(List<TopologyEvent> events) {
+        for (TopologyEvent event : events) {
             if (event.offset() > last && (event.whole() || event.offset() == last + 1)) {
                 last = event.offset();
                 listener.accept(event);
@@ -241,8 +241,8 @@
         try (JsonParser parser = json.createParser(line)) {
             event = Fields.of(parser);
         }
-        long offset = event.whole(Roster.OFFSET);
-        boolean whole = event.has(Roster.EVENT) && event.object(Roster.EVENT).flag(Roster.WHOLE);
+        long offset = event.whole(TopologyEvent.OFFSET);
+        boolean whole = event.has(TopologyEvent.EVENT) && event.object(TopologyEvent.EVENT).flag(TopologyEvent.WHOLE);
         // A whole list makes up for what is missing before it.
         if (offset <= last || offset > last + 1 && !whole && missing(mine)) {
             return;
@@ -250,8 +250,8 @@
         last = offset;
         behind = false;
         counters.add(Count.BUS_EVENTS);
-        if (event.has(Roster.EVENT)) {
-            listener.accept(Roster.of(event));
+        if (event.has(TopologyEvent.EVENT)) {
+            listener.accept(TopologyEvent.of(event));
         }
     }
 
--- a/src/main/java/cobaltseam/service/Hall.java
+++ b/src/main/java/cobaltseam/service/Hall.java
@@ -75,7 +75,7 @@
     private final Supplier<Report> report;
     private final Commands commands;
     private final Clients clients;
-    private final Door door;
+    private final BoundedAcceptor acceptor;
     private final Inbox inbox;
     private final Clock clock;
     private final Deadlines deadlines;
@@ -99,24 +99,24 @@
     private double sharedOver;
     private boolean broken;
 
-    Hall(Setup.Hall told, Installation installation, Supplier<Report> report, Commands commands, Clients clients, Door door,
+    Hall(Setup.Hall told, ServiceConfiguration configuration, Supplier<Report> report, Commands commands, Clients clients, BoundedAcceptor acceptor,
          Inbox inbox, Clock clock, Deadlines deadlines, Counters counters) {
         this.told = told;
         this.report = report;
         this.commands = commands;
         this.clients = clients;
-        this.door = door;
+        this.acceptor = acceptor;
         this.inbox = inbox;
         this.clock = clock;
         this.deadlines = deadlines;
         this.counters = counters;
         log = new BoundedLog(LOG, clock);
         self = told.listen().getAddress();
-        dispatchersTold = installation.deployment().dispatchers();
+        dispatchersTold = configuration.deployment().dispatchers();
         sharedOver = dispatchersTold;
         Span difference = told.sealing() == null ? Span.ZERO : told.sealing().clockDifference();
         freshness = new Freshness(clock.now(), difference);
-        Span longest = installation.deployment().profiles().stream().map(Deployment.Profile::clientTimeout)
+        Span longest = configuration.deployment().profiles().stream().map(Deployment.Profile::clientTimeout)
                 .max(Span::compareTo).orElse(Span.ZERO);
         mastership = new Mastership(self, told.terms(), told.peerAddresses(), elsewhere(), longest, freshness.listen(),
                 told.followsIntervals());
@@ -399,9 +399,9 @@
             IOException failed = null;
             try {
                 if (opens) {
-                    door.bind(l.serve);
+                    acceptor.bind(l.serve);
                 } else {
-                    door.unbind(l.serve);
+                    acceptor.unbind(l.serve);
                 }
             } catch (IOException e) {
                 failed = e;
--- a/src/main/java/cobaltseam/service/Members.java
+++ b/src/main/java/cobaltseam/service/Members.java
@@ -112,7 +112,7 @@
     private String folderState = "";
 
     /** @param setup with membership on */
-    Members(Setup setup, Installation installation, byte[] document, FleetDoor door, Clients clients, boolean masteredElsewhere, Clock clock,
+    Members(Setup setup, ServiceConfiguration configuration, byte[] document, FleetDoor door, Clients clients, boolean masteredElsewhere, Clock clock,
             Counters counters) {
         told = setup.fleet();
         spread = setup.spread();
@@ -123,7 +123,7 @@
         this.counters = counters;
         inbox = new Inbox(counters);
         log = new BoundedLog(LOG, clock);
-        Deployment own = installation.deployment();
+        Deployment own = configuration.deployment();
         Span longest = own.profiles().stream().map(Deployment.Profile::clientTimeout).max(Span::compareTo).orElse(Span.ZERO);
         codec = new MessageCodec(told.fleet(), told.sealing() == null ? null : told.sealing().keys(),
                 told.sealing() == null ? 0 : told.sealing().writeKey());
@@ -132,8 +132,8 @@
                 told.founders().stream().map(MemberName::new).toList(), told.seeds(), longest);
         // Later than any earlier process here, if clocks are right; if not, peers say so and it is raised.
         Birth birth = new Birth(Math.max(1, System.currentTimeMillis()));
-        Member self = new Member(new MemberName(installation.name()), birth, told.advertise());
-        SplittableRandom chance = new SplittableRandom(installation.seed() ^ System.nanoTime());
+        Member self = new Member(new MemberName(configuration.name()), birth, told.advertise());
+        SplittableRandom chance = new SplittableRandom(configuration.seed() ^ System.nanoTime());
         WholeFile file = folder();
         former = file == null ? null : former(file);
         writer = folderState.isEmpty() ? new Writer(file, this::stored, this::notStored) : null;
--- a/src/main/java/cobaltseam/service/Service.java
+++ b/src/main/java/cobaltseam/service/Service.java
@@ -53,7 +53,7 @@
     private static final int BACKLOG = 1024;
     private static final int LARGEST_READ = 1 << 14;
 
-    private Installation told;
+    private ServiceConfiguration told;
     /** The own file, where one is named, and what takes part in a hall by it; else null. */
     private Path own;
     private Hall hall;
@@ -71,7 +71,7 @@
     private final ExecutorService threads = Executors.newCachedThreadPool(Service::thread);
     /** One for both sides: the process has one core. */
     final Sockets processor = new Sockets(threads);
-    final Door acceptor;
+    final BoundedAcceptor acceptor;
     private final NioSocketConnector toEngines = new NioSocketConnector(threads, processor);
     private final NioSocketConnector toBus = new NioSocketConnector(threads, processor);
     private final Engines engines;
@@ -85,14 +85,14 @@
     /** When it ends at the latest; null until it takes nothing more and nothing is open. */
     private Moment leaveBy;
 
-    Service(Installation told) {
+    Service(ServiceConfiguration told) {
         this.told = told;
         engines = new Engines(told, toEngines, processor, inbox, clock, deadlines, counters);
         commands = new Commands(told.deployment(), told.seed(), engines, deadlines, clock, counters);
         clients = new Clients(told, commands, new SplittableRandom(~told.seed()), processor, inbox, clock,
                 deadlines, counters);
         bus = new EventBus(told, toBus, inbox, clock, deadlines, counters, commands::listed);
-        acceptor = new Door(threads, processor, Clients.mostAccepted(told));
+        acceptor = new BoundedAcceptor(threads, processor, Clients.mostAccepted(told));
         tune(toEngines.getSessionConfig());
         tune(toBus.getSessionConfig());
         tune(acceptor.getSessionConfig());
@@ -113,7 +113,7 @@
         if (setup != null && setup.jsonLog()) {
             JsonLines.install();
         }
-        Installation told = Installation.read(System.getenv());
+        ServiceConfiguration told = ServiceConfiguration.read(System.getenv());
         Warmup.run(told);
         Service service = new Service(told);
         service.own = own;
@@ -142,7 +142,7 @@
 
     /** Checks a configuration: opens a service on a free loopback port, asks it one empty query, and ends. */
     public static void rehearse() throws IOException, InterruptedException {
-        Installation told = Installation.read(System.getenv());
+        ServiceConfiguration told = ServiceConfiguration.read(System.getenv());
         Warmup.run(told);
         Service service = new Service(told.movedTo(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                 told.bus(), told.known()));
@@ -226,7 +226,7 @@
     /** One reading at a time, or an older one could overtake a newer. */
     private synchronized void readAnew(Map<String, String> environment) {
         try {
-            Installation anew = Installation.read(environment);
+            ServiceConfiguration anew = ServiceConfiguration.read(environment);
             Setup setup = own == null ? null : SetupReader.read(own);
             byte[] document = !agrees ? null : Agreed.document(Files.readAllBytes(Path.of(environment.get("GW_CONFIG"))));
             inbox.post(null, () -> {
@@ -242,13 +242,13 @@
         }
     }
 
-    private void renewed(Installation read, byte[] document) {
+    private void renewed(ServiceConfiguration read, byte[] document) {
         boolean asks = document != null && !members.isEnded();
         if (asks) {
             // Not this file moves the module, but the fleet, once it has agreed on what the file says.
             members.propose(document);
         }
-        Installation anew = asks && door.acts() != null ? read.with(door.acts()) : read;
+        ServiceConfiguration anew = asks && door.acts() != null ? read.with(door.acts()) : read;
         if (!anew.name().equals(told.name()) || !anew.listen().equals(told.listen())) {
             LOG.log(Level.WARNING, "name and address stay until the next start", Field.event("configuration.partly"));
         }
@@ -282,7 +282,7 @@
 
     /** What a configuration would serve, in one line. */
     public static String check(Map<String, String> environment) {
-        Installation told = Installation.read(environment);
+        ServiceConfiguration told = ServiceConfiguration.read(environment);
         return told.name() + " on " + told.listen() + ", event bus " + told.bus() + ", " + told.deployment().dispatchers()
                 + " dispatchers, " + told.deployment().profiles().size() + " profiles, limits " + told.sockets()
                 + " descriptors and " + (told.memoryBytes() >> 20) + " MB";
--- a/src/main/java/cobaltseam/service/Installation.java
+++ b/src/main/java/cobaltseam/service/ServiceConfiguration.java
@@ -17,8 +17,8 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 
 /** What the service is told by its configuration file: where it stands, and the deployment around it. */
-record Installation(String name, InetSocketAddress listen, InetSocketAddress bus, long seed, int sockets,
-                    long memoryBytes, long knownOffset, List<Roster> known, Deployment deployment, Span connectTimeout,
+record ServiceConfiguration(String name, InetSocketAddress listen, InetSocketAddress bus, long seed, int sockets,
+                    long memoryBytes, long knownOffset, List<TopologyEvent> known, Deployment deployment, Span connectTimeout,
                     Span connectionIdle, int sendsPerConnection) {
     private static final int HEX = 16;
     /** What a process has at least, where nothing is told. */
@@ -26,7 +26,7 @@
     private static final int LAST_PORT = 65_535;
 
     /** Reads the file that the environment names; what it also names must agree. */
-    static Installation read(Map<String, String> environment) {
+    static ServiceConfiguration read(Map<String, String> environment) {
         String path = environment.get("GW_CONFIG");
         if (path == null || path.isEmpty()) {
             throw new BadInput("GW_CONFIG names no configuration file");
@@ -39,7 +39,7 @@
         } catch (IOException e) {
             throw new BadInput(path + " can't be read: " + e.getMessage());
         }
-        Installation read = of(told);
+        ServiceConfiguration read = of(told);
         agree(environment, "GW_NAME", read.name);
         agree(environment, "GW_LISTEN", told.text("listen"));
         return read;
@@ -51,39 +51,39 @@
         }
     }
 
-    static Installation of(Fields told) {
+    static ServiceConfiguration of(Fields told) {
         Fields settings = told.object("settings");
         Fields limits = settings.object("limits");
         Fields known = told.object("known");
-        List<Roster> rosters = new ArrayList<>();
+        List<TopologyEvent> events = new ArrayList<>();
         for (Fields event : known.objects("batch")) {
-            if (event.has(Roster.EVENT)) {
-                rosters.add(Roster.of(event));
+            if (event.has(TopologyEvent.EVENT)) {
+                events.add(TopologyEvent.of(event));
             }
         }
         String seed = told.text("seed");
         if (!seed.matches("[0-9a-fA-F]{1,16}")) {
             throw new BadInput("'seed' is not 16 hex digits");
         }
-        return new Installation(told.text("name"), address(told.text("listen")), address(told.text("bus")),
+        return new ServiceConfiguration(told.text("name"), address(told.text("listen")), address(told.text("bus")),
                 Long.parseUnsignedLong(seed, HEX),
                 (int) told.object("limits").whole("sockets"),
                 told.object("limits").whole("memory_mb", LEAST_MEMORY_MB) << 20,
-                known.whole("offset"), rosters, DeploymentReader.read(settings),
+                known.whole("offset"), events, DeploymentReader.read(settings),
                 new Span(limits.whole("connect_timeout_us")),
                 new Span(limits.whole("conn_idle_us", 0)),
                 (int) Math.max(1, limits.whole("streams_per_conn", 1)));
     }
 
     /** The same with other settings of decisions. */
-    Installation with(Deployment other) {
-        return new Installation(name, listen, bus, seed, sockets, memoryBytes, knownOffset, known, other, connectTimeout, connectionIdle,
+    ServiceConfiguration with(Deployment other) {
+        return new ServiceConfiguration(name, listen, bus, seed, sockets, memoryBytes, knownOffset, known, other, connectTimeout, connectionIdle,
                 sendsPerConnection);
     }
 
     /** The same deployment at other addresses. */
-    Installation movedTo(InetSocketAddress listensOn, InetSocketAddress busAt, List<Roster> engines) {
-        return new Installation(name, listensOn, busAt, seed, sockets, memoryBytes, knownOffset, engines, deployment,
+    ServiceConfiguration movedTo(InetSocketAddress listensOn, InetSocketAddress busAt, List<TopologyEvent> engines) {
+        return new ServiceConfiguration(name, listensOn, busAt, seed, sockets, memoryBytes, knownOffset, engines, deployment,
                 connectTimeout, connectionIdle, sendsPerConnection);
     }
 
--- a/src/main/java/cobaltseam/service/Roster.java
+++ b/src/main/java/cobaltseam/service/TopologyEvent.java
@@ -17,7 +17,7 @@
 import cobaltseam.dispatch.Moment;
 
 /** One event of the bus: what has changed in the list of engines, or the whole list, and their addresses. */
-record Roster(long offset, boolean whole, List<Listing> list, Map<EngineId, InetSocketAddress> addresses) {
+record TopologyEvent(long offset, boolean whole, List<Listing> list, Map<EngineId, InetSocketAddress> addresses) {
     static final String EVENT = "topology";
     static final String OFFSET = "offset";
     static final String WHOLE = "all";
@@ -28,7 +28,7 @@
     private static final long FNV_BASIS = 0xcbf29ce484222325L;
     private static final long FNV_PRIME = 0x100000001b3L;
 
-    static Roster of(Fields event) {
+    static TopologyEvent of(Fields event) {
         Fields told = event.object(EVENT);
         List<Listing> list = new ArrayList<>();
         Map<EngineId, InetSocketAddress> addresses = new HashMap<>();
@@ -38,10 +38,10 @@
                     new GroupId(target.whole("pod_group", 0)), standing(target.text("state")),
                     new Moment(target.whole("boot_ms", 0) * US_PER_MS)));
             if (target.has("endpoint")) {
-                addresses.put(engine, Installation.address(target.text("endpoint")));
+                addresses.put(engine, ServiceConfiguration.address(target.text("endpoint")));
             }
         }
-        return new Roster(event.whole(OFFSET, 0), told.flag(WHOLE), list, addresses);
+        return new TopologyEvent(event.whole(OFFSET, 0), told.flag(WHOLE), list, addresses);
     }
 
     private static Listing.Standing standing(String state) {
--- a/src/main/java/cobaltseam/service/Warmup.java
+++ b/src/main/java/cobaltseam/service/Warmup.java
@@ -42,14 +42,14 @@
     private final List<Deployment.Profile> profiles;
     private final Service service;
 
-    private Warmup(Installation told) throws IOException {
+    private Warmup(ServiceConfiguration told) throws IOException {
         profiles = told.deployment().profiles();
         InetSocketAddress free = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         service = new Service(told.movedTo(free, address(bus), told.known().stream().map(this::played).toList()));
     }
 
     /** Plays, and tells how many commands were answered; a machine that does not allow it is served on without. */
-    static long run(Installation told) throws InterruptedException {
+    static long run(ServiceConfiguration told) throws InterruptedException {
         try {
             Warmup warmup = new Warmup(told);
             try {
@@ -72,12 +72,12 @@
     }
 
     /** The list as told, but each engine is the toy. */
-    private Roster played(Roster told) {
+    private TopologyEvent played(TopologyEvent told) {
         Map<EngineId, InetSocketAddress> addresses = new HashMap<>();
         for (Listing line : told.list()) {
             addresses.put(line.engine(), address(engine));
         }
-        return new Roster(told.offset(), told.whole(), told.list(), addresses);
+        return new TopologyEvent(told.offset(), told.whole(), told.list(), addresses);
     }
 
     private void play() throws IOException, InterruptedException {
--- a/src/test/java/cobaltseam/service/HallTest.java
+++ b/src/test/java/cobaltseam/service/HallTest.java
@@ -360,7 +360,7 @@
     void aFaultInMastershipEndsItAndNothingElse() throws Exception {
         try (EngineStandIn engine = new EngineStandIn("127.0.0.1", p -> 600); BusStandIn bus = new BusStandIn("127.0.0.1")) {
             String known = bus.tell(true, BusStandIn.target(1, engine.address(), "in_service"));
-            Installation told = Installation.of(Fields.of(new JsonFactory().createParser(DispatcherProcess.configuration("n0",
+            ServiceConfiguration told = ServiceConfiguration.of(Fields.of(new JsonFactory().createParser(DispatcherProcess.configuration("n0",
                     new InetSocketAddress("127.0.0.1", 0), 0, 1, 8, bus, known))));
             InetSocketAddress serve;
             InetSocketAddress adverts;
--- a/src/test/java/cobaltseam/service/ServiceRig.java
+++ b/src/test/java/cobaltseam/service/ServiceRig.java
@@ -248,8 +248,8 @@
                 .formatted(offset, all, String.join(",", targets));
     }
 
-    static Installation told(String bus, int sockets, int idleMs, String... targets) throws IOException {
-        return Installation.of(Fields.of(new JsonFactory().createParser(
+    static ServiceConfiguration told(String bus, int sockets, int idleMs, String... targets) throws IOException {
+        return ServiceConfiguration.of(Fields.of(new JsonFactory().createParser(
                 configuration(bus, sockets, idleMs, targets))));
     }
 
@@ -281,7 +281,7 @@
         Peer bus = new Peer(false);
         String[] targets = new String[engines.length];
         Arrays.setAll(targets, i -> target(i + 1, engines[i], "in_service"));
-        service = new Service(Installation.of(Fields.of(new JsonFactory().createParser(
+        service = new Service(ServiceConfiguration.of(Fields.of(new JsonFactory().createParser(
                 changed.apply(configuration(bus.address(), sockets, idleMs, targets))))));
         serve();
         return bus;
--- a/src/test/java/cobaltseam/service/ServiceTest.java
+++ b/src/test/java/cobaltseam/service/ServiceTest.java
@@ -577,12 +577,12 @@
         for (String bad : List.of("nowhere:80", "127.0.0.1", "127.0.0.1:70000", "127.0.0.1:x", "")) {
             assertThrows(BadInput.class, () -> told(bad, SOCKETS, IDLE_MS), bad);
         }
-        assertThrows(BadInput.class, () -> Installation.read(Map.of()));
-        assertThrows(BadInput.class, () -> Installation.read(Map.of("GW_CONFIG", "/nowhere/config.json")));
-        assertEquals(0x00c41f7aL, Roster.engine("s-00c41f7a").value() & 0xffffffffL, "read off a log line");
-        assertTrue(Roster.engine("s-00c41f7a").value() > Roster.engine("s-00c41f79").value(), "in the order of numbers");
-        assertNotEquals(Roster.engine("s-00c41f7a"), Roster.engine("t-00c41f7a"));
-        assertEquals(Roster.engine("a/ü"), Roster.engine("a/ü"));
+        assertThrows(BadInput.class, () -> ServiceConfiguration.read(Map.of()));
+        assertThrows(BadInput.class, () -> ServiceConfiguration.read(Map.of("GW_CONFIG", "/nowhere/config.json")));
+        assertEquals(0x00c41f7aL, TopologyEvent.engine("s-00c41f7a").value() & 0xffffffffL, "read off a log line");
+        assertTrue(TopologyEvent.engine("s-00c41f7a").value() > TopologyEvent.engine("s-00c41f79").value(), "in the order of numbers");
+        assertNotEquals(TopologyEvent.engine("s-00c41f7a"), TopologyEvent.engine("t-00c41f7a"));
+        assertEquals(TopologyEvent.engine("a/ü"), TopologyEvent.engine("a/ü"));
     }
 
     @Test
