--- a/src/main/java/cobaltseam/service/Commands.java
+++ b/src/main/java/cobaltseam/service/Commands.java
@@ -70,9 +70,9 @@
     /** Whether this dispatcher may send at this moment; by default always. */
     private BooleanSupplier maySend = () -> true;
     /** Hears what engines tell of the commands that they hold; null where nobody does. */
-    private FleetDoor reports;
+    private FleetBridge reports;
     /** Caps further sends over the fleet; null where it does not. */
-    private FleetDoor caps;
+    private FleetBridge caps;
     /** Whether the module was told something and not yet asked what follows. */
     private boolean news;
 
@@ -127,13 +127,13 @@
     }
 
     /** Has the fleet hear what engines tell of the commands that they hold. */
-    void reportsTo(FleetDoor door) {
-        reports = door;
+    void reportsTo(FleetBridge bridge) {
+        reports = bridge;
     }
 
     /** Has the fleet cap further sends. */
-    void cappedBy(FleetDoor door) {
-        caps = door;
+    void cappedBy(FleetBridge bridge) {
+        caps = bridge;
     }
 
     private void capped() {
--- a/src/main/java/cobaltseam/service/FleetDoor.java
+++ b/src/main/java/cobaltseam/service/FleetBridge.java
@@ -18,11 +18,11 @@
 import cobaltseam.spread.Reports.Report;
 
 /**
- * The one door between the fleet's thread and the thread that owns the module. The former publishes a {@link FleetWord}; the latter
+ * The one bridge between the fleet's thread and the thread that owns the module. The former publishes a {@link FleetSnapshot}; the latter
  * looks at it before anything is heard, decided or sent, and moves the module. Neither ever waits for the other.
  */
-final class FleetDoor {
-    private static final System.Logger LOG = System.getLogger(FleetDoor.class.getName());
+final class FleetBridge {
+    private static final System.Logger LOG = System.getLogger(FleetBridge.class.getName());
     /** The module hears of a part that changed by more than this share of it. */
     private static final double NOTABLE = 0.01;
     /** The least part that engines are ever shared by. */
@@ -31,7 +31,7 @@
     /** Reports that wait for an owner's thread that stands still: more are lost, the oldest first. */
     private static final int MOST_UNTAKEN = 4 * Reports.MOST;
 
-    private final AtomicReference<FleetWord> word = new AtomicReference<>(FleetWord.NONE);
+    private final AtomicReference<FleetSnapshot> snapshot = new AtomicReference<>(FleetSnapshot.NONE);
     /** What the module counted as asked for: the bits of a double, by the owner's thread alone. */
     private final AtomicLong offered = new AtomicLong();
     /** What engines told here, whole and youngest; and what they told others that the owner's thread has not taken yet. */
@@ -48,7 +48,7 @@
     /** Whether mastership tells the module over how many engines are shared; the fleet then does not. */
     private final boolean masteredElsewhere;
     // of the owner's thread
-    private FleetWord seen = FleetWord.NONE;
+    private FleetSnapshot seen = FleetSnapshot.NONE;
     private long againUs = Long.MAX_VALUE;
     private double over;
     private Deployment acts;
@@ -56,7 +56,7 @@
     private boolean heardAnew;
     private long tellsUs;
 
-    FleetDoor(Commands commands, Inbox inbox, Clock clock, Deployment told, boolean masteredElsewhere) {
+    FleetBridge(Commands commands, Inbox inbox, Clock clock, Deployment told, boolean masteredElsewhere) {
         this.commands = commands;
         this.inbox = inbox;
         this.clock = clock;
@@ -107,8 +107,8 @@
         };
     }
 
-    void publish(FleetWord anew) {
-        word.setRelease(anew);
+    void publish(FleetSnapshot anew) {
+        snapshot.setRelease(anew);
         // So that one that rests looks at it.
         inbox.post(null, () -> { });
     }
@@ -150,7 +150,7 @@
             tellsUs = clock.us() + TELLS_EVERY_US;
             toldHere.setRelease(List.copyOf(heard.values()));
         }
-        FleetWord now = word.getAcquire();
+        FleetSnapshot now = snapshot.getAcquire();
         if (now != seen || clock.us() >= againUs) {
             follow(now, clock.us());
         }
@@ -190,7 +190,7 @@
         }
     }
 
-    private void follow(FleetWord now, long us) {
+    private void follow(FleetSnapshot now, long us) {
         seen = now;
         againUs = now.changesUs(us);
         Deployment then = us < now.untilUs() ? now.acts() : now.back();
--- a/src/main/java/cobaltseam/service/FleetWord.java
+++ b/src/main/java/cobaltseam/service/FleetSnapshot.java
@@ -18,18 +18,18 @@
  * @param untilUs in microseconds of the service's clock
  * @param stepsUs until when each of {@code parts} of the engines may be used, rising; null where parts are even
  */
-record FleetWord(int carriers, Deployment acts, Deployment back, long untilUs, long[] stepsUs, double[] parts) {
-    static final FleetWord NONE = new FleetWord(0, null, null, Long.MAX_VALUE, null, null);
+record FleetSnapshot(int carriers, Deployment acts, Deployment back, long untilUs, long[] stepsUs, double[] parts) {
+    static final FleetSnapshot NONE = new FleetSnapshot(0, null, null, Long.MAX_VALUE, null, null);
 
     /** The same with parts that follow from holdings. */
-    FleetWord with(List<Holdings.Step> steps, long whole) {
+    FleetSnapshot with(List<Holdings.Step> steps, long whole) {
         long[] ends = steps.stream().mapToLong(s -> s.until() == null ? Long.MAX_VALUE : s.until().us()).toArray();
         double[] of = steps.stream().mapToDouble(s -> (double) s.amount() / whole).toArray();
-        return new FleetWord(carriers, acts, back, untilUs, ends, of);
+        return new FleetSnapshot(carriers, acts, back, untilUs, ends, of);
     }
 
     /** Whether nothing new is in it. */
-    boolean isLike(FleetWord o) {
+    boolean isLike(FleetSnapshot o) {
         return carriers == o.carriers && acts == o.acts && back == o.back && untilUs == o.untilUs && Arrays.equals(stepsUs, o.stepsUs)
                 && Arrays.equals(parts, o.parts);
     }
--- a/src/main/java/cobaltseam/service/Members.java
+++ b/src/main/java/cobaltseam/service/Members.java
@@ -50,7 +50,7 @@
 /**
  * This dispatcher among those of its fleet, on a thread of its own: the one room for members' messages. It carries them between the
  * socket and {@link Ground}, which hands each to the module it is for, and publishes what follows for the module of commands through
- * {@link FleetDoor}. A fault of it ends it and nothing else: the service goes on as one without it.
+ * {@link FleetBridge}. A fault of it ends it and nothing else: the service goes on as one without it.
  */
 final class Members {
     private static final System.Logger LOG = System.getLogger(Members.class.getName());
@@ -72,7 +72,7 @@
     /** The view that an operator had this dispatcher found another line for, or null. */
     private String foundedAnew;
     private final Clients clients;
-    private final FleetDoor door;
+    private final FleetBridge bridge;
     private final boolean masteredElsewhere;
     private final Inbox inbox;
     private final Clock clock;
@@ -100,7 +100,7 @@
     private Deadlines.Deadline wake, falls, shows;
     private Moment dueAt, saidAt;
     private Standing standing = Standing.NONE;
-    private FleetWord word = FleetWord.NONE;
+    private FleetSnapshot snapshot = FleetSnapshot.NONE;
     /** Set once, by its own thread. */
     private volatile boolean broken;
     private volatile boolean closed;
@@ -112,11 +112,11 @@
     private String folderState = "";
 
     /** @param setup with membership on */
-    Members(Setup setup, ServiceConfiguration configuration, byte[] document, FleetDoor door, Clients clients, boolean masteredElsewhere, Clock clock,
+    Members(Setup setup, ServiceConfiguration configuration, byte[] document, FleetBridge bridge, Clients clients, boolean masteredElsewhere, Clock clock,
             Counters counters) {
         told = setup.fleet();
         spread = setup.spread();
-        this.door = door;
+        this.bridge = bridge;
         this.clients = clients;
         this.masteredElsewhere = masteredElsewhere;
         this.clock = clock;
@@ -149,15 +149,15 @@
         reports = spread == null || !spread.news().isPositive() ? null : new Reports(spread.reports(CLOCKS), chance.split(), clock.now());
         if (reports != null) {
             ground.hears(reports);
-            door.hears();
+            bridge.hears();
         }
         if (holdings != null) {
             ground.holds(holdings);
         }
-        purse = setup.repeats() == null ? null : new Purse(setup.repeats().terms(CLOCKS), door.left(), chance.split());
+        purse = setup.repeats() == null ? null : new Purse(setup.repeats().terms(CLOCKS), bridge.left(), chance.split());
         if (purse != null) {
-            ground.caps(purse, door.sends());
-            door.caps();
+            ground.caps(purse, bridge.sends());
+            bridge.caps();
             shows("repeats", this::repeatRows);
         }
         if (spread != null) {
@@ -367,13 +367,13 @@
         try {
             needs();
             if (reports != null) {
-                door.toldHere().forEach(reports::told);
+                bridge.toldHere().forEach(reports::told);
             }
             asked.run();
             if (reports != null) {
                 List<Reports.Report> news = reports.news();
                 if (!news.isEmpty()) {
-                    door.toldElsewhere(news);
+                    bridge.toldElsewhere(news);
                 }
             }
             Moment now = clock.now();
@@ -403,7 +403,7 @@
             saidAt = now;
             Map<String, Long> figures = new HashMap<>();
             if (holdings != null) {
-                double rate = demand.told(door.offered(), now);
+                double rate = demand.told(bridge.offered(), now);
                 holdings.needs(rate);
                 figures.put(Ground.DEMAND, Ground.figure(rate));
             }
@@ -484,14 +484,14 @@
         Moment now = clock.now();
         int carriers = membership.carriers(now);
         Moment until = agreed == null ? null : agreed.until(now);
-        FleetWord then = agreed == null ? new FleetWord(carriers, null, null, Long.MAX_VALUE, null, null)
-                : new FleetWord(carriers, agreed.acts(), agreed.back(), until == null ? 0 : until.us(), null, null);
+        FleetSnapshot then = agreed == null ? new FleetSnapshot(carriers, null, null, Long.MAX_VALUE, null, null)
+                : new FleetSnapshot(carriers, agreed.acts(), agreed.back(), until == null ? 0 : until.us(), null, null);
         if (holdings != null) {
             then = then.with(holdings.steps(now), spread.whole());
         }
-        if (!then.isLike(word)) {
-            word = then;
-            door.publish(then);
+        if (!then.isLike(snapshot)) {
+            snapshot = then;
+            bridge.publish(then);
             if (divides() && spread.audit()) {
                 LOG.log(Level.INFO, "holds these parts of the engines, each until: {0}", Field.of("steps", then.stepsText()),
                         Field.of("us", now.us()), Field.event("spread.parts"));
@@ -510,9 +510,9 @@
         deadlines.cancel(wake);
         deadlines.cancel(falls);
         Deployment back = agreed == null ? null : agreed.back();
-        FleetWord last = new FleetWord(0, back, back, Long.MAX_VALUE, null, null);
-        door.publish(holdings == null ? last
-                : last.with(List.of(new Holdings.Step(null, spread.terms(door.dispatchers()).alonePart())), spread.whole()));
+        FleetSnapshot last = new FleetSnapshot(0, back, back, Long.MAX_VALUE, null, null);
+        bridge.publish(holdings == null ? last
+                : last.with(List.of(new Holdings.Step(null, spread.terms(bridge.dispatchers()).alonePart())), spread.whole()));
         close();
         try {
             tellRows();
@@ -539,7 +539,7 @@
             return told;
         }
         told.add(new String[] {"usable", part(holdings.usable(now))});
-        told.add(new String[] {"alone", part(spread.terms(door.dispatchers()).alonePart())});
+        told.add(new String[] {"alone", part(spread.terms(bridge.dispatchers()).alonePart())});
         told.add(new String[] {"even", part(holdings.even(now))});
         told.add(new String[] {"lent", part(holdings.lentOut(now))});
         told.add(new String[] {"borrowed", part(holdings.borrowed(now))});
@@ -556,10 +556,10 @@
     /** SHOW cobaltseam.repeats. */
     private List<String[]> repeatRows() {
         List<String[]> told = new ArrayList<>();
-        told.add(new String[] {"left", String.format(Locale.ROOT, "%.3f", (double) door.left().get() / Purse.ONE)});
+        told.add(new String[] {"left", String.format(Locale.ROOT, "%.3f", (double) bridge.left().get() / Purse.ONE)});
         told.add(new String[] {"wanted_a_second", String.format(Locale.ROOT, "%.3f", purse.need())});
-        told.add(new String[] {"first_sends", Long.toString(door.sends().firsts())});
-        told.add(new String[] {"further_sends_and_denied", Long.toString(door.sends().furtherWanted())});
+        told.add(new String[] {"first_sends", Long.toString(bridge.sends().firsts())});
+        told.add(new String[] {"further_sends_and_denied", Long.toString(bridge.sends().furtherWanted())});
         told.add(new String[] {"denied", Long.toString(counters.of(Count.REPEATS_DENIED))});
         Sharing.Sum spare = sharing.sum(Ground.SPARE, clock.now());
         told.add(new String[] {"others_can_spare", String.format(Locale.ROOT, "%.3f, %d members known, %d not",
@@ -601,7 +601,7 @@
 
     private String shared() {
         int over = membership.carriers(clock.now());
-        return broken || over == 0 ? Integer.toString(door.dispatchers()) : Integer.toString(over);
+        return broken || over == 0 ? Integer.toString(bridge.dispatchers()) : Integer.toString(over);
     }
 
     private static long ms(Moment now, Moment then) {
--- a/src/main/java/cobaltseam/service/Service.java
+++ b/src/main/java/cobaltseam/service/Service.java
@@ -60,7 +60,7 @@
     /** What takes part in a fleet, where the own file has one; else null. */
     private Members members;
     /** Between the fleet's thread and this service's; null without a fleet. */
-    private FleetDoor door;
+    private FleetBridge bridge;
     /** Whether the fleet agrees on the settings of decisions. */
     private boolean agrees;
     private final Clock clock = new Clock();
@@ -248,7 +248,7 @@
             // Not this file moves the module, but the fleet, once it has agreed on what the file says.
             members.propose(document);
         }
-        ServiceConfiguration anew = asks && door.acts() != null ? read.with(door.acts()) : read;
+        ServiceConfiguration anew = asks && bridge.acts() != null ? read.with(bridge.acts()) : read;
         if (!anew.name().equals(told.name()) || !anew.listen().equals(told.listen())) {
             LOG.log(Level.WARNING, "name and address stay until the next start", Field.event("configuration.partly"));
         }
@@ -300,8 +300,8 @@
     /** Takes part in a fleet from the start on. */
     void joinsFleet(Setup setup, byte[] configuration) {
         agrees = setup.agreed() != null;
-        door = new FleetDoor(commands, inbox, clock, told.deployment(), hall != null);
-        members = new Members(setup, told, agrees ? Agreed.document(configuration) : null, door, clients, hall != null, clock, counters);
+        bridge = new FleetBridge(commands, inbox, clock, told.deployment(), hall != null);
+        members = new Members(setup, told, agrees ? Agreed.document(configuration) : null, bridge, clients, hall != null, clock, counters);
     }
 
     /** What this dispatcher's fitness is judged by. */
@@ -389,8 +389,8 @@
         if (hall != null) {
             hall.look();
         }
-        if (door != null) {
-            door.look();
+        if (bridge != null) {
+            bridge.look();
         }
     }
 
