--- a/src/test/java/cobaltseam/service/ShutdownOrderTest.java
+++ b/src/test/java/cobaltseam/service/ShutdownOrderTest.java
@@ -123,8 +123,14 @@
         Client client = new Client(look(1, 20_000));
         Message out = engine.next("PULL");
         Thread stop = shutDown();
+        byte[] startup = {0, 0, 0, 9, 0, 3, 0, 0, 0};
         try (Socket late = new Socket(service.address().getAddress(), service.address().getPort())) {
-            late.getOutputStream().write(new byte[] {0, 0, 0, 9, 0, 3, 0, 0, 0});
+            late.getOutputStream().write(startup);
+            String told = new String(late.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertTrue(told.contains("57P03"), "before it asks anything: " + told);
+        }
+        try (Socket late = new Socket(service.address().getAddress(), service.address().getPort())) {
+            late.getOutputStream().write(startup);
             late.getOutputStream().write(message(look(2, 20_000)));
             String told = new String(late.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
             assertTrue(told.contains("57P03"), told);
