--- a/src/main/java/cobaltseam/fleet/RealFleet.java
+++ b/src/main/java/cobaltseam/fleet/RealFleet.java
@@ -114,11 +114,15 @@
         relays = new Relays(plan.processes, this.troubles, seed, since);
         all = new One[plan.processes];
         ports = new int[plan.processes];
+        List<ServerSocket> free = new ArrayList<>();
         for (int i = 0; i < all.length; i++) {
             all[i] = new One();
-            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-                ports[i] = free.getLocalPort();
-            }
+            ServerSocket listens = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+            free.add(listens);
+            ports[i] = listens.getLocalPort();
+        }
+        for (ServerSocket each : free) {
+            each.close();
         }
         for (int i = 0; i < all.length; i++) {
             configure(i);
--- a/src/main/java/cobaltseam/fleet/Relays.java
+++ b/src/main/java/cobaltseam/fleet/Relays.java
@@ -49,6 +49,8 @@
         this.since = since;
         chance = new SplittableRandom(seed);
         InetAddress loopback = InetAddress.getByName("127.0.0.1");
+        // Closed only once all are chosen, or one that is free again could be given to the next.
+        List<DatagramChannel> free = new ArrayList<>();
         for (int i = 0; i < processes; i++) {
             DatagramChannel channel = DatagramChannel.open();
             channel.setOption(java.net.StandardSocketOptions.SO_RCVBUF, BUFFER);
@@ -57,12 +59,15 @@
             channel.register(selector, SelectionKey.OP_READ, i);
             channels.add(channel);
             seen.add((InetSocketAddress) channel.getLocalAddress());
-            try (DatagramChannel free = DatagramChannel.open()) {
-                free.bind(new InetSocketAddress(loopback, 0));
-                heard.add((InetSocketAddress) free.getLocalAddress());
-            }
+            DatagramChannel listens = DatagramChannel.open();
+            free.add(listens);
+            listens.bind(new InetSocketAddress(loopback, 0));
+            heard.add((InetSocketAddress) listens.getLocalAddress());
             senders.put(heard.get(i), i);
         }
+        for (DatagramChannel each : free) {
+            each.close();
+        }
         Thread thread = new Thread(this::run, "relays");
         thread.setDaemon(true);
         thread.start();
--- a/src/test/java/cobaltseam/service/AnswerOrderTest.java
+++ b/src/test/java/cobaltseam/service/AnswerOrderTest.java
@@ -78,6 +78,29 @@
         assertEquals(List.of("a|1|x", "b|2|y", "SELECT 2"), client.told());
     }
 
+    /** Nothing comes, or a part, or a whole first page of two: it may have run, and is failed in time and sent to nobody else. */
+    @Test
+    void whatMustNotBeRepeatedFailsWhateverIsMissingOfItsAnswer() throws Exception {
+        Peer one = new Peer(true);
+        Peer two = new Peer(true);
+        start(one, two);
+        Client client = new Client();
+        String first = "*4\r\n$16\r\n%s\r\n$3\r\n200\r\n$7\r\npages=%d\r\n$%d\r\n%s";
+        int call = 0;
+        for (String part : List.of("", first.formatted("ID", 1, 48_000, "half"), first.formatted("ID", 2, ROWS.length(), ROWS + "\r\n"))) {
+            client.query(client.out, command("once", ++call, 1500));
+            Message pull = poll(one, two);
+            pull.say(part.replace("ID", pull.id()));
+            assertEquals(List.of("error 58"), client.told(), part);
+        }
+        assertNoSecondPull(one);
+        assertNoSecondPull(two);
+    }
+
+    private static void assertNoSecondPull(Peer peer) {
+        assertTrue(peer.heard.stream().noneMatch(m -> m.items().get(0).equals("PULL")), peer.heard.toString());
+    }
+
     /** Reset long after its last answer, the connection is not used for the next send, which would be lost with it. */
     @Test
     void aConnectionResetWhileItRestsIsNotUsedAgain() throws Exception {
