--- a/src/main/java/cobaltseam/membership/Suspicion.java
+++ b/src/main/java/cobaltseam/membership/Suspicion.java
@@ -97,7 +97,7 @@
     private final Terms terms;
     private final RandomGenerator chance;
     private final Out out;
-    private final Rumours rumours = new Rumours();
+    private final GossipQueue updates = new GossipQueue();
     private final TreeMap<MemberName, Peer> peers = new TreeMap<>();
     private final Map<Long, Probing> probing = new LinkedHashMap<>();
     private final Map<Long, Favour> favours = new LinkedHashMap<>();
@@ -202,7 +202,7 @@
     void beginAnew() {
         self = new Member(self.name(), self.birth().above(self.birth()), self.address());
         incarnation = 0;
-        rumours.add(new News(self, incarnation, Condition.ALIVE, self.name()));
+        updates.add(new News(self, incarnation, Condition.ALIVE, self.name()));
     }
 
     /** When it is to be asked again. */
@@ -407,7 +407,7 @@
 
     /** What is said of the one spoken to comes first, so that it can refute it. */
     private List<News> newsFor(Peer to) {
-        List<News> news = rumours.next(MOST_NEWS, peers.size() + 1);
+        List<News> news = updates.next(MOST_NEWS, peers.size() + 1);
         if (to.condition != Condition.ALIVE) {
             news.add(0, to.news(self.name()));
         }
@@ -468,7 +468,7 @@
                 version++;
                 order.add(chance.nextInt(order.size() + 1), p);
                 out.note(Event.JOINED_SIGHT, m.name(), m.address() + " birth " + m.birth());
-                rumours.add(new News(m, p.incarnation, Condition.ALIVE, news.by()));
+                updates.add(new News(m, p.incarnation, Condition.ALIVE, news.by()));
                 if (news.condition() == Condition.SUSPECT) {
                     told(news, now);
                 }
@@ -491,7 +491,7 @@
         if (newer == 0 && news.condition() == Condition.SUSPECT && p.condition == Condition.SUSPECT) {
             if (p.by.size() <= CONFIRMATIONS && p.by.add(news.by())) {
                 deadline(p);
-                rumours.add(news);
+                updates.add(news);
             }
             return;
         }
@@ -517,7 +517,7 @@
                 }
             }
         }
-        rumours.add(news);
+        updates.add(news);
     }
 
     /** A later process of a known name. */
@@ -530,7 +530,7 @@
         p.view = ViewId.NONE;
         set(p, Condition.ALIVE, now);
         p.since = now;
-        rumours.add(new News(m, p.incarnation, Condition.ALIVE, news.by()));
+        updates.add(new News(m, p.incarnation, Condition.ALIVE, news.by()));
     }
 
     private void ofUs(News news, Moment now) {
@@ -554,7 +554,7 @@
                 || news.incarnation() > incarnation) {
             incarnation = news.incarnation() + 1;
             health.worse();
-            rumours.add(new News(self, incarnation, Condition.ALIVE, self.name()));
+            updates.add(new News(self, incarnation, Condition.ALIVE, self.name()));
             // Told to some at once: spread at the pace of rounds, it could come too late.
             drawn(terms.helpers(), p -> p.condition == Condition.ALIVE).forEach(p -> say(p, new Part(teller(),
                     List.of(new News(self, incarnation, Condition.ALIVE, self.name())), false)));
--- a/src/main/java/cobaltseam/service/Members.java
+++ b/src/main/java/cobaltseam/service/FleetNode.java
@@ -52,8 +52,8 @@
  * socket and {@link Ground}, which hands each to the module it is for, and publishes what follows for the module of commands through
  * {@link FleetBridge}. A fault of it ends it and nothing else: the service goes on as one without it.
  */
-final class Members {
-    private static final System.Logger LOG = System.getLogger(Members.class.getName());
+final class FleetNode {
+    private static final System.Logger LOG = System.getLogger(FleetNode.class.getName());
     private static final int US_PER_MS = 1000;
     private static final double SECOND_US = 1e6;
     private static final Span LONGEST_WAIT = new Span(1_000_000);
@@ -112,7 +112,7 @@
     private String folderState = "";
 
     /** @param setup with membership on */
-    Members(Setup setup, ServiceConfiguration configuration, byte[] document, FleetBridge bridge, Clients clients, boolean masteredElsewhere, Clock clock,
+    FleetNode(Setup setup, ServiceConfiguration configuration, byte[] document, FleetBridge bridge, Clients clients, boolean masteredElsewhere, Clock clock,
             Counters counters) {
         told = setup.fleet();
         spread = setup.spread();
--- a/src/main/java/cobaltseam/service/Service.java
+++ b/src/main/java/cobaltseam/service/Service.java
@@ -58,7 +58,7 @@
     private Path own;
     private Hall hall;
     /** What takes part in a fleet, where the own file has one; else null. */
-    private Members members;
+    private FleetNode fleetNode;
     /** Between the fleet's thread and this service's; null without a fleet. */
     private FleetBridge bridge;
     /** Whether the fleet agrees on the settings of decisions. */
@@ -208,8 +208,8 @@
         if (hall != null) {
             hall.open();
         }
-        if (members != null) {
-            members.open();
+        if (fleetNode != null) {
+            fleetNode.open();
         }
     }
 
@@ -243,10 +243,10 @@
     }
 
     private void renewed(ServiceConfiguration read, byte[] document) {
-        boolean asks = document != null && !members.isEnded();
+        boolean asks = document != null && !fleetNode.isEnded();
         if (asks) {
             // Not this file moves the module, but the fleet, once it has agreed on what the file says.
-            members.propose(document);
+            fleetNode.propose(document);
         }
         ServiceConfiguration anew = asks && bridge.acts() != null ? read.with(bridge.acts()) : read;
         if (!anew.name().equals(told.name()) || !anew.listen().equals(told.listen())) {
@@ -267,9 +267,9 @@
     }
 
     private void renewed(Setup setup) {
-        if (members != null && setup.fleet() != null) {
-            members.renewed(setup.fleet());
-        } else if (members != null || setup.fleet() != null) {
+        if (fleetNode != null && setup.fleet() != null) {
+            fleetNode.renewed(setup.fleet());
+        } else if (fleetNode != null || setup.fleet() != null) {
             LOG.log(Level.WARNING, "whether membership is on stays until the next start", Field.event("configuration.partly"));
         }
         if (hall != null && setup.hall() != null) {
@@ -301,7 +301,7 @@
     void joinsFleet(Setup setup, byte[] configuration) {
         agrees = setup.agreed() != null;
         bridge = new FleetBridge(commands, inbox, clock, told.deployment(), hall != null);
-        members = new Members(setup, told, agrees ? Agreed.document(configuration) : null, bridge, clients, hall != null, clock, counters);
+        fleetNode = new FleetNode(setup, told, agrees ? Agreed.document(configuration) : null, bridge, clients, hall != null, clock, counters);
     }
 
     /** What this dispatcher's fitness is judged by. */
@@ -419,8 +419,8 @@
             if (hall != null) {
                 hall.leave();
             }
-            if (members != null) {
-                members.leave();
+            if (fleetNode != null) {
+                fleetNode.leave();
             }
             leave(STOP_AFTER);
         });
@@ -436,8 +436,8 @@
         if (hall != null) {
             hall.close();
         }
-        if (members != null) {
-            members.close();
+        if (fleetNode != null) {
+            fleetNode.close();
         }
         acceptor.dispose();
         toEngines.dispose();
--- a/src/test/java/cobaltseam/service/MembersOrderTest.java
+++ b/src/test/java/cobaltseam/service/FleetNodeOrderTest.java
@@ -29,7 +29,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /** Messages of other members that come at the wrong moment. */
-class MembersOrderTest extends ServiceRig {
+class FleetNodeOrderTest extends ServiceRig {
     /** Longer than it takes to read a datagram on loopback: the duration is the subject. */
     private static final int READ_WITHIN_MS = 500;
 
@@ -61,7 +61,7 @@
                 public void close() {
                 }
             };
-            Logger log = Logger.getLogger(Members.class.getName());
+            Logger log = Logger.getLogger(FleetNode.class.getName());
             log.addHandler(says);
             try {
                 serve();
