--- a/src/main/java/cobaltseam/service/Clients.java
+++ b/src/main/java/cobaltseam/service/Clients.java
@@ -164,7 +164,7 @@
     private final AtomicLong held = new AtomicLong();
     private final long mostHeld;
     private final Slots<Client> slots;
-    /** Cancel requests that were read and not heard yet; each came on a connection of its own. */
+    /** Cancel requests that were read and not heard yet: of one connection no more than {@link #MOST_WAITING}. */
     private final Queue<ClientMessage.Cancel> cancelsRead = new ConcurrentLinkedQueue<>();
     /** Clients with no statement open, the longest idle first: by whether they asked never, once, or more. */
     private final Set<Client> unasked = new LinkedHashSet<>();
