A re-bootstrapped lineage has a number above the lost one, and its own

Seen: drawn suspensions around found_anew gave "one number, two sets: 3/1 is [n0000#3, n0001#4, n0002#5] ... and [n0003#3]": two fleets with one view. For callers: settings and capacity shares of two fleets that take each other for one.

Cause: a lineage is numbered by the incarnation that began it; a re-bootstrap took its own incarnation plus one. A process that was started before the founder of the lost lineage so gets a number at or below that lineage's. Incarnations are milliseconds of the wall clock, so a fleet that is started at once is exposed. Two operators at neighbouring incarnations could collide likewise.

Change: the number is above all incarnations known and above the lost lineage, and congruent to the member's place in the lost view, so that two members of one view never choose the same.

--- a/src/main/java/cobaltseam/membership/FailureDetector.java
+++ b/src/main/java/cobaltseam/membership/FailureDetector.java
@@ -124,6 +124,11 @@
     updates.startNewIncarnation();
   }
 
+  /** The same, with an incarnation above that one and above its own. */
+  void startIncarnationAbove(Incarnation other) {
+    updates.startIncarnationAbove(other);
+  }
+
   /** When {@link #onTimer} must be called next. */
   Timestamp nextWakeup(Timestamp now) {
     boolean isPending = hasSuspects() || healthChecks.hasUnanswered();
--- a/src/main/java/cobaltseam/membership/Rebootstrap.java
+++ b/src/main/java/cobaltseam/membership/Rebootstrap.java
@@ -44,14 +44,33 @@
     }
     actions.recordEvent(
         MembershipEvent.FOUNDED_ANEW, detector.self().name(), "in place of view " + lost);
+    long lineage = nextLineage(localView.view());
     lineages.end(lost);
     localView.leaveLineage(MembershipEvent.LINE_LEFT, "an operator ended the lineage", now);
-    detector.startNewIncarnation();
+    detector.startIncarnationAbove(new Incarnation(lineage - 1));
     Member self = detector.self();
     View first = View.of(new ViewId(self.incarnation().value(), 1), List.of(self));
     localView.setState(ViewState.of(first), now);
   }
 
+  /**
+   * A lineage is numbered by the incarnation that began it, and of two the lower number is the
+   * elder. This number is above all that are known here, and no other member of the lost view
+   * chooses the same: each takes the next one with its own remainder.
+   */
+  private long nextLineage(View lostView) {
+    List<Member> members = lostView.members();
+    long highest = Math.max(lostView.id().lineage(), detector.self().incarnation().value());
+    for (Member member : members) {
+      highest = Math.max(highest, member.incarnation().value());
+    }
+    for (Peer peer : detector.peers()) {
+      highest = Math.max(highest, peer.member().incarnation().value());
+    }
+    long next = highest + 1;
+    return next + Math.floorMod(members.indexOf(detector.self()) - next, members.size());
+  }
+
   /** Why this process must not re-bootstrap now; null if it may. */
   private String refusal(ViewId lost, Timestamp now) {
     View view = localView.view();
--- a/src/main/java/cobaltseam/membership/UpdateProcessor.java
+++ b/src/main/java/cobaltseam/membership/UpdateProcessor.java
@@ -53,7 +53,12 @@
 
   /** This process becomes another one: its former promises do not bind it. */
   void startNewIncarnation() {
-    local.takeIncarnationAbove(local.member().incarnation());
+    startIncarnationAbove(local.member().incarnation());
+  }
+
+  /** The same, with an incarnation above that one and above its own. */
+  void startIncarnationAbove(Incarnation other) {
+    local.takeIncarnationAbove(other);
     gossip.add(local.aliveUpdate());
   }
 
--- a/src/test/java/cobaltseam/fleet/RebootstrapTest.java
+++ b/src/test/java/cobaltseam/fleet/RebootstrapTest.java
@@ -2,10 +2,12 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cobaltseam.fleet.Fault.Kind;
 import cobaltseam.membership.QuorumState;
 import cobaltseam.membership.ViewId;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -14,6 +16,7 @@
   private static final List<Integer> GONE = List.of(0, 1, 2);
   private static final double GONE_AT_S = 60;
   private static final double ASKED_AT_S = 120;
+  private static final int LINEAGE_SEEDS = 20;
 
   @Test
   void aMinorityThatKeptRunningIsBootstrappedAgain() {
@@ -29,9 +32,31 @@
     assertIsBootstrappedAgain(fleet);
   }
 
+  /** Guards against two lineages of one number, and against one that wins against its elder. */
+  @Test
+  void aBootstrappedLineageIsYoungerThanTheLostOneAndNobodyElseHasItsNumber() {
+    for (long seed = 0; seed < LINEAGE_SEEDS; seed++) {
+      Fault gone = new Fault(Kind.GONE, GONE_AT_S, 1, GONE, List.of(), 1);
+      VirtualFleet fleet = new VirtualFleet(VirtualFleet.Plan.of(5), List.of(gone), seed);
+      fleet.run(ASKED_AT_S);
+      ViewId lost = fleet.view(3).id();
+      fleet.bootstrapAgain(3, lost);
+      fleet.bootstrapAgain(4, lost);
+      long one = fleet.view(3).id().lineage();
+      long other = fleet.view(4).id().lineage();
+      assertTrue(one > lost.lineage() && other > lost.lineage(), "seed " + seed);
+      assertNotEquals(one, other, "seed " + seed);
+      fleet.run(ASKED_AT_S + 60);
+      assertEquals(
+          List.of(),
+          InvariantChecker.check(fleet.recordedEvents(), fleet.live(), true),
+          "seed " + seed);
+    }
+  }
+
   private static VirtualFleet playedFleet(List<Fault> further) {
     Fault gone = new Fault(Kind.GONE, GONE_AT_S, 1, GONE, List.of(), 1);
-    List<Fault> faults = new java.util.ArrayList<>(further);
+    List<Fault> faults = new ArrayList<>(further);
     faults.add(0, gone);
     VirtualFleet fleet = new VirtualFleet(VirtualFleet.Plan.of(5), faults, 6);
     fleet.run(ASKED_AT_S);
