A suspended member that no majority can answer any more is a minority

Seen: with three of five members gone for good, found_anew was rejected for ever ("its quorum state is unsure") by a member that had been suspended once, and one that was suspended never followed to the new lineage. Callers get no settings changes and a stale share of the engines until somebody restarts the process.

Cause: after a suspension a member is unsure until a majority of its view answers; that majority is gone. Re-bootstrap, leaving an ended lineage and leaving for another one all wait for the state minority.

Change: without a majority that seems alive, and none that answered within three suspicion timeouts since the process ran again, the state is minority. That is as long as a re-bootstrap asks the missing to be silent. It never becomes a majority without the answers, and each further suspension starts the time anew, so a lineage that went on still has its time to be heard.

--- a/src/main/java/cobaltseam/membership/QuorumState.java
+++ b/src/main/java/cobaltseam/membership/QuorumState.java
@@ -6,7 +6,10 @@
   NONE,
   /** A majority of the view seems alive from here. */
   MAJORITY,
-  /** This process was stopped or restarted, and has not heard a majority since. */
+  /**
+   * This process was stopped or restarted, has not heard a majority since, and a majority may still
+   * answer.
+   */
   UNSURE,
   /** No majority of the view seems alive from here. */
   MINORITY;
--- a/src/main/java/cobaltseam/membership/QuorumTracker.java
+++ b/src/main/java/cobaltseam/membership/QuorumTracker.java
@@ -11,6 +11,11 @@
   /** A minority that lasted longer than this counts as a partition. */
   private static final double PARTITION_AFTER_PERIODS = 3;
 
+  /**
+   * For so many suspicion timeouts a missing majority must be silent before it is taken for lost.
+   */
+  private static final double SILENT_SUSPICION_TIMEOUTS = 3;
+
   /** For so long after a partition healed, nobody is removed for being dead. */
   private static final double HEALING_PERIODS = 8;
 
@@ -20,6 +25,10 @@
   private boolean isResumed;
   private boolean isIsolated;
   private Timestamp confirmFrom;
+
+  /** Whether a majority had time to confirm the view since {@link #confirmFrom}, and did not. */
+  private boolean isConfirmationOverdue;
+
   private Timestamp minoritySince;
   private Timestamp healedAt;
 
@@ -55,13 +64,12 @@
     if (view == null) {
       return QuorumState.NONE;
     }
+    boolean isCutOff = isIsolated && view.members().size() > 1;
+    boolean seesMajority = aliveCount() >= view.majority() && !isCutOff;
     if (confirmFrom != null) {
-      return QuorumState.UNSURE;
+      return isConfirmationOverdue && !seesMajority ? QuorumState.MINORITY : QuorumState.UNSURE;
     }
-    if (isIsolated && view.members().size() > 1) {
-      return QuorumState.MINORITY;
-    }
-    return aliveCount() >= view.majority() ? QuorumState.MAJORITY : QuorumState.MINORITY;
+    return seesMajority ? QuorumState.MAJORITY : QuorumState.MINORITY;
   }
 
   boolean hasMajority() {
@@ -106,9 +114,14 @@
     return aliveCount() == members && detector.peers().size() == members - 1;
   }
 
-  /** Asks all members, and counts as unsure until a majority has answered from now on. */
+  /**
+   * Asks all members, and counts as unsure until a majority has answered from now on. If none is
+   * alive to answer, this process is a minority once that has lasted {@link
+   * #silenceOfLostMajority}; it never counts as a majority without the answers.
+   */
   void requireConfirmation(Timestamp now) {
     confirmFrom = now;
+    isConfirmationOverdue = false;
     detector.checkAll(localView.view().members(), now);
   }
 
@@ -138,8 +151,15 @@
     }
   }
 
+  /** How long the missing members must be silent before a majority is taken for lost. */
+  TimeSpan silenceOfLostMajority() {
+    return detector.minSuspicionTimeout().times(SILENT_SUSPICION_TIMEOUTS);
+  }
+
   /** Notices the begin and the end of a partition, and reports the view to the peers. */
   void update(Timestamp now) {
+    isConfirmationOverdue =
+        confirmFrom != null && now.since(confirmFrom).compareTo(silenceOfLostMajority()) >= 0;
     isIsolated = detector.isIsolated(now);
     if (!localView.hasView() || hasMajority()) {
       boolean wasPartitioned =
--- a/src/main/java/cobaltseam/membership/Rebootstrap.java
+++ b/src/main/java/cobaltseam/membership/Rebootstrap.java
@@ -10,9 +10,6 @@
  * refuses while that majority may live.
  */
 final class Rebootstrap {
-  /** For so many suspicion timeouts the missing members must have been silent. */
-  private static final double SILENT_SUSPICION_TIMEOUTS = 3;
-
   private final FailureDetector detector;
   private final LocalView localView;
   private final LineageHistory lineages;
@@ -80,7 +77,7 @@
     if (quorum.state() != QuorumState.MINORITY) {
       return "its quorum state is " + quorum.state().label();
     }
-    TimeSpan silent = detector.minSuspicionTimeout().times(SILENT_SUSPICION_TIMEOUTS);
+    TimeSpan silent = quorum.silenceOfLostMajority();
     Timestamp since = quorum.minoritySince();
     if (since == null || now.since(since).compareTo(silent) < 0) {
       return "a majority was alive less than " + silent.us() / 1000 + " ms ago";
--- a/src/test/java/cobaltseam/fleet/RebootstrapTest.java
+++ b/src/test/java/cobaltseam/fleet/RebootstrapTest.java
@@ -54,6 +54,31 @@
     }
   }
 
+  /** Guards against a member that can't follow the others, since it was suspended as well. */
+  @Test
+  void allOfAMinorityThatWereSuspendedOnceEndInOneLineage() {
+    VirtualFleet fleet =
+        playedFleet(
+            List.of(
+                new Fault(Kind.PAUSE, 75, 10, List.of(3), List.of(), 1),
+                new Fault(Kind.PAUSE, 80, 10, List.of(4), List.of(), 1)));
+    assertIsBootstrappedAgain(fleet);
+    fleet.run(ASKED_AT_S + 60);
+    assertEquals(2, fleet.view(4).members().size(), "state " + fleet.quorumState(4));
+    assertEquals(fleet.view(3), fleet.view(4));
+  }
+
+  /** Guards against an order that is followed before a living majority could have answered. */
+  @Test
+  void afterASuspensionTheOrderIsRejectedUntilAMajorityHadTimeToAnswer() {
+    Fault pause = new Fault(Kind.PAUSE, 75, 40, List.of(3), List.of(), 1);
+    VirtualFleet fleet = playedFleet(List.of(pause));
+    ViewId lost = fleet.view(3).id();
+    assertEquals(QuorumState.UNSURE, fleet.quorumState(3));
+    fleet.bootstrapAgain(3, lost);
+    assertEquals(lost, fleet.view(3).id());
+  }
+
   private static VirtualFleet playedFleet(List<Fault> further) {
     Fault gone = new Fault(Kind.GONE, GONE_AT_S, 1, GONE, List.of(), 1);
     List<Fault> faults = new ArrayList<>(further);
