found_anew read right after a suspension waits for the majority's answer

Seen: a member that was suspended while a partition healed, and read an operator's found_anew as the first thing afterwards, began a lineage of its own though the old majority lived (new test: view 8/1 in place of 5/2).

Cause: Membership.rebootstrap judged by what was known before the suspension; that the process had stood still is noticed by onTimer alone, and SIGHUP may be read before the timer.

Change: rebootstrap first runs what is due, which notices the suspension and leaves the state unsure.

--- a/src/main/java/cobaltseam/membership/Membership.java
+++ b/src/main/java/cobaltseam/membership/Membership.java
@@ -254,6 +254,11 @@
 
   /** Does what is due at this time. */
   public List<MembershipAction> onTimer(Timestamp now) {
+    runDueWork(now);
+    return finish();
+  }
+
+  private void runDueWork(Timestamp now) {
     if (!isLeaving) {
       MemberName name = self().name();
       TimeSpan late = detector.onTimer(now);
@@ -264,7 +269,6 @@
       }
       advance(now);
     }
-    return finish();
   }
 
   private void advance(Timestamp now) {
@@ -371,6 +375,8 @@
    *     majority may live
    */
   public List<MembershipAction> rebootstrap(ViewId lost, Timestamp now) {
+    // After a suspension nothing is known until the timer has seen it.
+    runDueWork(now);
     rebootstrap.run(lost, now);
     return finish();
   }
--- a/src/test/java/cobaltseam/fleet/RebootstrapTest.java
+++ b/src/test/java/cobaltseam/fleet/RebootstrapTest.java
@@ -79,6 +79,19 @@
     assertEquals(lost, fleet.view(3).id());
   }
 
+  /** Guards against an order that acts on what was known before a long suspension. */
+  @Test
+  void anOrderReadRightAfterASuspensionIsRejected() {
+    Fault cut = new Fault(Kind.CUT, GONE_AT_S, 25, GONE, List.of(), 1);
+    Fault pause = new Fault(Kind.PAUSE, GONE_AT_S + 20, 30, List.of(3), List.of(), 1);
+    VirtualFleet fleet = new VirtualFleet(VirtualFleet.Plan.of(5), List.of(cut, pause), 6);
+    fleet.run(pause.endS() - 0.001);
+    ViewId held = fleet.view(3).id();
+    fleet.bootstrapAgain(3, held);
+    assertEquals(held, fleet.view(3).id());
+    assertEquals(QuorumState.UNSURE, fleet.quorumState(3));
+  }
+
   private static VirtualFleet playedFleet(List<Fault> further) {
     Fault gone = new Fault(Kind.GONE, GONE_AT_S, 1, GONE, List.of(), 1);
     List<Fault> faults = new ArrayList<>(further);
