A member leaves for a younger lineage only after a lasting minority

Seen: after a re-bootstrap beside a majority that was only cut off, the partition heals and no process is in a view any more, for good.

Cause: a member of the elder view that saw no majority for a moment (one member suspended, a stale rumour of another's death) left for the younger lineage at once, while the members of that one left for the elder, as they should. What was left is never joined again, so neither view could have a successor.

Change: leaving for a younger lineage asks that the minority has lasted three suspicion timeouts, like a re-bootstrap.

--- a/src/main/java/cobaltseam/membership/LineageGuard.java
+++ b/src/main/java/cobaltseam/membership/LineageGuard.java
@@ -99,7 +99,7 @@
     if (other != 0
         && other != own
         && lineages.canJoin(peer.view())
-        && (other < own || quorum.state() == QuorumState.MINORITY)) {
+        && (other < own || quorum.isLastingMinority(now))) {
       localView.leaveLineage(
           MembershipEvent.LINE_LEFT, "for the lineage of view " + peer.view(), now);
     }
--- a/src/main/java/cobaltseam/membership/QuorumTracker.java
+++ b/src/main/java/cobaltseam/membership/QuorumTracker.java
@@ -156,6 +156,13 @@
     return detector.minSuspicionTimeout().times(SILENT_SUSPICION_TIMEOUTS);
   }
 
+  /** Whether the missing majority has been silent for long enough to be taken for lost. */
+  boolean isLastingMinority(Timestamp now) {
+    return state() == QuorumState.MINORITY
+        && minoritySince != null
+        && now.since(minoritySince).compareTo(silenceOfLostMajority()) >= 0;
+  }
+
   /** Notices the begin and the end of a partition, and reports the view to the peers. */
   void update(Timestamp now) {
     isConfirmationOverdue =
--- a/src/test/java/cobaltseam/fleet/RebootstrapTest.java
+++ b/src/test/java/cobaltseam/fleet/RebootstrapTest.java
@@ -9,6 +9,7 @@
 import cobaltseam.membership.ViewId;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
 /** An operator's re-bootstrap of what is left after three of five members are gone for good. */
@@ -17,6 +18,12 @@
   private static final double GONE_AT_S = 60;
   private static final double ASKED_AT_S = 120;
   private static final int LINEAGE_SEEDS = 20;
+  private static final int DRAWN_SEEDS = 60;
+  private static final long SEED_OF_A_LEFT_VIEW = 308;
+  private static final int DRAWN_PAUSES = 4;
+
+  /** Each pause begins in a slot of its own and ends within it. */
+  private static final double PAUSE_SLOT_S = 32;
 
   @Test
   void aMinorityThatKeptRunningIsBootstrappedAgain() {
@@ -92,6 +99,53 @@
     assertEquals(QuorumState.UNSURE, fleet.quorumState(3));
   }
 
+  /** Suspensions before, during and after the order, of a majority that is gone or cut off. */
+  @Test
+  void drawnSuspensionsAroundTheOrderBreakNothing() {
+    for (long seed = 0; seed < DRAWN_SEEDS; seed++) {
+      assertDrawnSuspensionsBreakNothing(seed);
+    }
+  }
+
+  /** A view whose members left for another lineage, one by one, must not win them back. */
+  @Test
+  void aViewThatAMemberHasLeftForAnotherLineageClaimsNoMajority() {
+    assertDrawnSuspensionsBreakNothing(SEED_OF_A_LEFT_VIEW);
+  }
+
+  private static void assertDrawnSuspensionsBreakNothing(long seed) {
+    SplittableRandom random = new SplittableRandom(seed);
+    boolean isGone = random.nextBoolean();
+    Fault loss =
+        isGone
+            ? new Fault(Kind.GONE, GONE_AT_S, 1, GONE, List.of(), 1)
+            : new Fault(Kind.CUT, GONE_AT_S, 20 + random.nextInt(140), GONE, List.of(), 1);
+    List<Fault> faults = new ArrayList<>(List.of(loss));
+    for (int i = 0; i < DRAWN_PAUSES; i++) {
+      double at = GONE_AT_S + 2 + PAUSE_SLOT_S * (i + 0.5 * random.nextDouble());
+      int process = isGone ? 3 + random.nextInt(2) : random.nextInt(5);
+      double lengthS = 0.5 + 0.5 * (PAUSE_SLOT_S - 1) * random.nextDouble();
+      faults.add(new Fault(Kind.PAUSE, at, lengthS, List.of(process), List.of(), 1));
+    }
+    VirtualFleet fleet = new VirtualFleet(VirtualFleet.Plan.of(5), faults, seed);
+    fleet.run(GONE_AT_S);
+    long lineage = fleet.view(3).id().lineage();
+    for (double orderAt = GONE_AT_S + 10 * random.nextDouble(); orderAt < 260; orderAt += 7) {
+      fleet.run(orderAt);
+      if (fleet.view(3) != null && fleet.view(3).id().lineage() == lineage) {
+        fleet.bootstrapAgain(3, fleet.view(3).id());
+      }
+    }
+    fleet.run(340);
+    String drawn = "seed " + seed + ": " + faults;
+    assertTrue(
+        fleet.isSettled(),
+        drawn + ", states " + fleet.quorumState(3) + ", " + fleet.quorumState(4));
+    assertEquals(
+        List.of(), InvariantChecker.check(fleet.recordedEvents(), fleet.live(), true), drawn);
+    assertEquals(!isGone, fleet.view(3).id().lineage() == lineage, drawn);
+  }
+
   private static VirtualFleet playedFleet(List<Fault> further) {
     Fault gone = new Fault(Kind.GONE, GONE_AT_S, 1, GONE, List.of(), 1);
     List<Fault> faults = new ArrayList<>(further);
