No advertisement ends another dispatcher's service before this one listens

For callers: after a take-over connects are refused until the new active dispatcher's listener is open, and for four intervals if its port is taken.

Cause: it advertised as it became active and opened its listener after that on another thread; the peer that served stopped on hearing.

A new test with a taken port (aDispatcherThatCantBindItsAddressEndsNobodysService) fails before the change: the peer logs mastership.left, higher_heard.

Change: only resignations are sent for a router that is not listening; the advertisement follows as its listener opens; clients of the own address are admitted from then on. mastership.taken and the shown state stay, as scripts move addresses by them. The tests' awaitState for active also waits for the serves row, and one waits for mastership.serves in place of .taken: later events, no check less.

--- a/src/main/java/cobaltseam/service/VirtualAddressListeners.java
+++ b/src/main/java/cobaltseam/service/VirtualAddressListeners.java
@@ -245,6 +245,12 @@
     return listeners.get(router).isWanted;
   }
 
+  /** Whether the listener of a configured router is open and is not being closed. */
+  boolean isListening(VirtualRouterId router) {
+    Listener listener = listeners.get(router);
+    return listener.isOpen && !listener.isBusy;
+  }
+
   /** Whether the listener of a configured router is open. */
   boolean isOpen(VirtualRouterId router) {
     return listeners.get(router).isOpen;
--- a/src/main/java/cobaltseam/service/VirtualAddressService.java
+++ b/src/main/java/cobaltseam/service/VirtualAddressService.java
@@ -11,12 +11,15 @@
 import cobaltseam.mastership.Mastership;
 import cobaltseam.mastership.MastershipAction;
 import cobaltseam.mastership.ReplayGuard;
+import cobaltseam.mastership.Role;
+import cobaltseam.mastership.RouterState;
 import cobaltseam.mastership.TransitionReason;
 import cobaltseam.mastership.VirtualRouterId;
 import cobaltseam.service.Counters.Count;
 import cobaltseam.settings.Settings;
 import cobaltseam.transport.AdvertDatagramSocket;
 import cobaltseam.vrrp.Addresses;
+import cobaltseam.vrrp.Advertisement;
 import cobaltseam.vrrp.RejectionReason;
 import java.io.IOException;
 import java.lang.System.Logger.Level;
@@ -369,8 +372,15 @@
     }
   }
 
+  /**
+   * Sends an advertisement, unless clients could not connect yet: whoever serves the address now
+   * stops when it hears of another active router.
+   */
   private void advertise(MastershipAction.Advertise advertise) {
-    sender.send(mastership.options(advertise.router()), advertise.priority(), settings);
+    boolean isResignation = advertise.priority() == Advertisement.RESIGNATION_PRIORITY;
+    if (isResignation || listeners.isListening(advertise.router())) {
+      sender.send(mastership.options(advertise.router()), advertise.priority(), settings);
+    }
   }
 
   private void acquire(MastershipAction.Acquire acquire) {
@@ -438,6 +448,11 @@
   @Override
   public void onServing(VirtualRouterId router) {
     mastership.onServing(router);
+    fenceIfOverdue();
+    RouterState state = mastership.state(router);
+    if (state.role() == Role.ACTIVE) {
+      advertise(new MastershipAction.Advertise(router, state.priority()));
+    }
   }
 
   @Override
@@ -456,7 +471,12 @@
     VirtualRouterId router = listeners.routerAt(address);
     return router != null
         ? mastership.canAdmit(router, now)
-        : mastership.isActive() && !mastership.isFenceOverdue(now);
+        : isListening() && !mastership.isFenceOverdue(now);
+  }
+
+  /** Whether this dispatcher is active for any virtual router and clients can connect to it. */
+  private boolean isListening() {
+    return mastership.isActive() && mastership.routers().stream().anyMatch(listeners::isListening);
   }
 
   @Override
--- a/src/test/java/cobaltseam/service/VirtualAddressServiceTest.java
+++ b/src/test/java/cobaltseam/service/VirtualAddressServiceTest.java
@@ -60,8 +60,12 @@
     }
   }
 
+  /** Waits for a state; where that is active, also until clients can connect. */
   private static void awaitState(VirtualAddressRig rig, int index, String state) throws Exception {
     awaitShown(rig, index, "router_51/ipv4_state", state);
+    if (state.equals("active")) {
+      awaitShown(rig, index, "router_51/ipv4_serves", rig.serves[index] + " open");
+    }
   }
 
   /** Gives the other dispatcher the higher priority, and waits until it is active. */
@@ -145,7 +149,7 @@
       int from = rig.dispatchers[0].lines();
       rig.dispatchers[0].start();
       // After its restart it has the higher priority again.
-      rig.dispatchers[0].await("mastership.taken", from, TIMEOUT_MS);
+      rig.dispatchers[0].await("mastership.serves", from, TIMEOUT_MS);
       rig.awaitAnswer(System.nanoTime(), TIMEOUT_MS);
       from = rig.dispatchers[1].lines();
       rig.dispatchers[0].terminate();
@@ -279,6 +283,23 @@
     }
   }
 
+  /** Guards against an advertisement that ends the service of another before this one can begin. */
+  @Test
+  void aDispatcherThatCantBindItsAddressEndsNobodysService() throws Exception {
+    try (VirtualAddressRig rig = new VirtualAddressRig(Plan.of(100, 16), folder);
+        ServerSocket holder = new ServerSocket()) {
+      holder.bind(rig.serves[0]);
+      rig.dispatchers[1].start();
+      rig.dispatchers[1].await(" serves on ", 0, TIMEOUT_MS);
+      awaitState(rig, 1, "active");
+      rig.dispatchers[0].start();
+      rig.dispatchers[0].await("mastership.bind_failed", 0, TIMEOUT_MS);
+      rig.dispatchers[0].await("unable", 0, TIMEOUT_MS);
+      assertTrue(!rig.dispatchers[1].log().contains("mastership.left"), rig.dispatchers[1].log());
+      assertEquals("active", state(rig, 1));
+    }
+  }
+
   @Test
   void forgedReplayedAndInvalidAdvertisementsAreRejectedAndKeysRotate() throws Exception {
     String seal = "[mastership.seal]\nkeys = \"keys\"\nwrite_key = %d\nclock_difference_ms = 400\n";
