The test of a fault in mastership bounds its wait and survives a fence

Cause: it waited without a bound for its one request at the engine. If the event loop stands still for three advertisement intervals (150 ms) as the request comes, the router is fenced and the request rejected, which is the rule, and no engine sees it.

Before, the loop could not end then.

Change: the wait has a bound; a rejected request is followed by another on a new connection. Assertions are unchanged.

--- a/src/test/java/cobaltseam/service/VirtualAddressServiceFaultTest.java
+++ b/src/test/java/cobaltseam/service/VirtualAddressServiceFaultTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cobaltseam.deployment.JsonObjectReader;
 import cobaltseam.dispatch.TimeSpan;
@@ -15,6 +16,7 @@
 import cobaltseam.standin.VirtualAddressRig;
 import com.fasterxml.jackson.core.JsonFactory;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -22,6 +24,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
@@ -31,6 +34,9 @@
 class VirtualAddressServiceFaultTest {
   private static final long TIMEOUT_MS = 30_000;
 
+  /** More than three advertisement intervals, after which a router is fenced. */
+  private static final long FENCE_MS = 400;
+
   @TempDir Path folder;
 
   private static ServiceConfiguration configuration(EmulatedEngine engine, EmulatedEventBus bus)
@@ -78,6 +84,71 @@
     return loop;
   }
 
+  /**
+   * Returns the outcome of a request that runs at the engine. One that comes as the router is
+   * fenced is rejected, and another is sent.
+   */
+  private static CompletableFuture<Outcome> awaitInFlight(
+      InetSocketAddress serviceAddress, EmulatedEngine engine) {
+    long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MS);
+    for (int call = 0; ; call++) {
+      StatementClient client = VirtualAddressServiceTest.connect(serviceAddress);
+      String id = "%016x".formatted(0xe00 + call);
+      CompletableFuture<Outcome> end =
+          CompletableFuture.supplyAsync(() -> executeAndClose(client, id));
+      while (engine.running() == 0 && !end.isDone()) {
+        assertTrue(System.nanoTime() < until, "no request is in flight");
+        VirtualAddressRig.sleep(5);
+      }
+      if (!end.isDone()) {
+        return end;
+      }
+    }
+  }
+
+  private static Outcome executeAndClose(StatementClient client, String call) {
+    try (client) {
+      return client.execute(call, "look", 2500);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Guards against a test that waits at the engine for a request which was rejected. */
+  @Test
+  void aRequestThatComesAsTheRouterIsFencedIsRejected() throws Exception {
+    try (EmulatedEngine engine = new EmulatedEngine("127.0.0.1", p -> 600);
+        EmulatedEventBus bus = new EmulatedEventBus("127.0.0.1")) {
+      Settings.VirtualAddressSettings settings = settings();
+      InetSocketAddress serviceAddress = settings.routers().get(0).serviceAddress();
+      DispatcherService service = new DispatcherService(configuration(engine, bus));
+      service.enableVirtualAddresses(settings);
+      service.open();
+      Thread loop = startLoop(service);
+      try (StatementClient client = VirtualAddressServiceTest.connect(serviceAddress)) {
+        CountDownLatch resumed = new CountDownLatch(1);
+        service.inbox.post(null, () -> awaitQuietly(resumed));
+        client.send("00000000000000e1", "look", 2500, 50);
+        // The duration is the subject: the fence time passes while the event loop does not run.
+        VirtualAddressRig.sleep(FENCE_MS);
+        resumed.countDown();
+        assertEquals(Outcome.TURNED_AWAY, client.awaitOutcome());
+        assertTrue(engine.ledger().isEmpty(), "nothing ran");
+      }
+      loop.interrupt();
+      loop.join();
+      service.close();
+    }
+  }
+
+  private static void awaitQuietly(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   @Test
   void aFaultInMastershipEndsOnlyMastership() throws Exception {
     try (EmulatedEngine engine = new EmulatedEngine("127.0.0.1", p -> 600);
@@ -96,15 +167,9 @@
           });
       service.open();
       Thread loop = startLoop(service);
-      try (StatementClient client = VirtualAddressServiceTest.connect(serviceAddress)) {
-        CompletableFuture<Outcome> end =
-            CompletableFuture.supplyAsync(() -> client.execute("00000000000000e0", "look", 2500));
-        while (engine.running() == 0) {
-          VirtualAddressRig.sleep(5);
-        }
-        broken.set(true);
-        assertEquals(Outcome.ANSWERED, end.get(TIMEOUT_MS, TimeUnit.MILLISECONDS));
-      }
+      CompletableFuture<Outcome> end = awaitInFlight(serviceAddress, engine);
+      broken.set(true);
+      assertEquals(Outcome.ANSWERED, end.get(TIMEOUT_MS, TimeUnit.MILLISECONDS));
       try (StatementClient client = new StatementClient(service.address(), 5000)) {
         assertEquals("ended by a fault", client.show("mastership").get("mastership"));
         assertEquals(Outcome.TURNED_AWAY, client.execute("00000000000000e2", "look", 2500));
