A connection that ends for want of a first statement has a counter

Seen: everyAdmittedRequestIsAccountedForUnderLoss once ended with an EOFException in SHOW on a fresh connection, and nothing told why the dispatcher had ended it: the bound on connections has a counter (clients_gave_way), the 2 s without a statement had none.

Change: clients_timed_out counts these closes, printed behind the others, so each printed name keeps its place; the row of printed names grows by it. No behaviour changed.

Measured: ClientSessionsTest (with the new test) and PrintedNamesTest pass.

--- a/src/main/java/cobaltseam/service/ClientConnections.java
+++ b/src/main/java/cobaltseam/service/ClientConnections.java
@@ -139,6 +139,7 @@
               if (client.receivedBytes != receivedBefore && client.parser.isInMessage()) {
                 startFirstStatementTimeout(client);
               } else {
+                counters.add(Count.CLIENTS_TIMED_OUT);
                 evict(client);
               }
             });
--- a/src/main/java/cobaltseam/service/Counters.java
+++ b/src/main/java/cobaltseam/service/Counters.java
@@ -68,7 +68,8 @@
     MEMBERSHIP_KEPT,
     AGREEMENT_MOVES,
     AGREEMENT_STEPPED_BACK,
-    REPEATS_DENIED;
+    REPEATS_DENIED,
+    CLIENTS_TIMED_OUT;
 
     String label() {
       return name().toLowerCase(Locale.ROOT);
--- a/src/test/java/cobaltseam/service/ClientSessionsTest.java
+++ b/src/test/java/cobaltseam/service/ClientSessionsTest.java
@@ -108,6 +108,18 @@
     assertEquals(List.of("empty"), usual.ask(""));
   }
 
+  /** Guards against a connection that ends with no counter that says why. */
+  @Test
+  void aClientThatSendsNoStatementIsClosedAndCounted() throws Exception {
+    start(new EmulatedPeer(true));
+    TestClient silent = new TestClient();
+    assertTrue(silent.in.read() < 0, "it is closed");
+    TestClient other = new TestClient();
+    List<String> counters = other.ask("SHOW cobaltseam.counters");
+    assertTrue(counters.contains("clients_timed_out|1"), counters.toString());
+    assertTrue(counters.contains("clients_gave_way|0"), counters.toString());
+  }
+
   /**
    * Clients keep far more connections open than are allowed: those that send statements never wait
    * for them.
--- a/src/test/java/cobaltseam/service/VirtualAddressServiceTest.java
+++ b/src/test/java/cobaltseam/service/VirtualAddressServiceTest.java
@@ -14,6 +14,7 @@
 import cobaltseam.vrrp.AdvertisementAuthenticator;
 import cobaltseam.vrrp.AdvertisementCodec;
 import cobaltseam.vrrp.DecodeResult.ChecksumCoverage;
+import java.io.EOFException;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -42,8 +43,22 @@
   @TempDir Path folder;
 
   private static String shown(VirtualAddressRig rig, int index, String name) throws Exception {
+    long askedAt = System.nanoTime();
     try (StatementClient client = new StatementClient(rig.owns[index], 5000)) {
       return client.show("mastership").getOrDefault(name, "");
+    } catch (EOFException e) {
+      throw connectionEnded(rig.owns[index], askedAt, e);
+    }
+  }
+
+  /** A failure that tells how long the client took, and the dispatcher's counters of closes. */
+  private static IOException connectionEnded(
+      InetSocketAddress dispatcher, long askedAt, EOFException cause) throws IOException {
+    long tookMs = (System.nanoTime() - askedAt) / 1_000_000;
+    try (StatementClient client = new StatementClient(dispatcher, 5000)) {
+      Map<String, String> counters = client.show("counters");
+      counters.keySet().removeIf(name -> !name.startsWith("clients_"));
+      return new IOException("ended after " + tookMs + " ms, counters " + counters, cause);
     }
   }
 
