--- a/src/test/java/cobaltseam/standin/EmulatedEngine.java
+++ b/src/test/java/cobaltseam/standin/EmulatedEngine.java
@@ -43,6 +43,7 @@
   private final AtomicInteger running = new AtomicInteger();
   private final AtomicInteger most = new AtomicInteger();
   private volatile boolean failing;
+  private final Map<String, Long> lastStarts = new ConcurrentHashMap<>();
 
   /**
    * @param millis how long a command of a profile runs
@@ -85,6 +86,11 @@
     return running.get();
   }
 
+  /** When each request was started last, by call id, in nanoseconds of this process. */
+  public Map<String, Long> lastStarts() {
+    return lastStarts;
+  }
+
   private void accept() {
     while (!server.isClosed()) {
       try {
@@ -125,6 +131,7 @@
       Map<String, ScheduledFuture<?>> open, OutputStream out, String id, String fields) {
     Executions ran =
         ledger.computeIfAbsent(id, i -> new Executions(new AtomicInteger(), new AtomicInteger()));
+    lastStarts.put(id, System.nanoTime());
     ran.started.incrementAndGet();
     if (failing) {
       try {
