--- a/src/test/java/cobaltseam/service/VirtualAddressServiceTest.java
+++ b/src/test/java/cobaltseam/service/VirtualAddressServiceTest.java
@@ -355,7 +355,7 @@
       awaitAbove(rig, "adverts_refused_unsealed", 100);
       awaitAbove(rig, "adverts_refused_stale", 100);
       awaitAbove(rig, "adverts_refused_key_unknown", 100);
-      assertEquals("active", state(rig, 0));
+      assertEquals("active", state(rig, 0), rig.dispatchers[0].log());
       assertTrue(
           rig.dispatchers[0].log().lines().skip(from).noneMatch(l -> l.contains("higher_heard")));
       rotateKeys(rig, plain, keys);
