Log why attempts, requests and engine connections end, with call, attempt and connection

New events attempt.ended, request.ended and engine.connection_gone; engine.unknown_answer has code, page and connection. No decision changes.

--- a/src/main/java/cobaltseam/service/DispatcherService.java
+++ b/src/main/java/cobaltseam/service/DispatcherService.java
@@ -93,12 +93,19 @@
   private Timestamp shutdownDeadline;
 
   DispatcherService(ServiceConfiguration configuration) {
+    AttemptLog attemptLog = new AttemptLog(clock);
     engines =
         new EngineConnections(
-            configuration, engineConnector, processor, inbox, clock, timers, counters);
+            configuration, engineConnector, processor, inbox, clock, timers, counters, attemptLog);
     requests =
         new RequestTable(
-            configuration.deployment(), configuration.seed(), engines, timers, clock, counters);
+            configuration.deployment(),
+            configuration.seed(),
+            engines,
+            timers,
+            clock,
+            counters,
+            attemptLog);
     clients =
         new ClientSessions(
             configuration,
--- a/src/main/java/cobaltseam/service/EngineAnswers.java
+++ b/src/main/java/cobaltseam/service/EngineAnswers.java
@@ -3,7 +3,6 @@
 import cobaltseam.deployment.DeploymentReader;
 import cobaltseam.dispatch.AttemptOutcome.AttemptResult;
 import cobaltseam.dispatch.Timestamp;
-import cobaltseam.logging.Field;
 import cobaltseam.resp.EngineCommands;
 import cobaltseam.resp.EngineResponse;
 import cobaltseam.resp.Result;
@@ -37,14 +36,14 @@
   private final Listener listener;
   private final Clock clock;
   private final Counters counters;
-  private final RateLimitedLog log;
+  private final AttemptLog log;
 
   EngineAnswers(
       EngineConnectionPool pool,
       Listener listener,
       Clock clock,
       Counters counters,
-      RateLimitedLog log) {
+      AttemptLog log) {
     this.pool = pool;
     this.listener = listener;
     this.clock = clock;
@@ -122,11 +121,7 @@
   private void processUnknown(EngineConnection connection, EngineResponse answer) {
     if (!connection.isAbandoned(answer.id())) {
       counters.add(Count.UNKNOWN_ANSWERS);
-      log.warn(
-          "engine {0}: ignored an answer to unknown call id {1}",
-          Field.of("engine", Long.toHexString(connection.engine.value())),
-          Field.of("command", answer.id()),
-          Field.event("engine.unknown_answer"));
+      log.answerIgnored(connection, answer);
       if (connection.countUnsolicitedAnswer()) {
         protocolError(connection, "too many answers to unknown call ids");
       }
@@ -178,24 +173,15 @@
    */
   private void rejectResult(EngineConnection connection, Attempt attempt, String reason) {
     counters.add(Count.ENGINE_PROTOCOL_ERRORS);
-    log.warn(
-        "engine {0}: unusable result, attempt failed and connection closed: {1}",
-        Field.of("engine", Long.toHexString(attempt.engine.value())),
-        Field.of("reason", reason),
-        Field.of("command", attempt.callId()),
-        Field.event("engine.bad_result"));
+    log.resultRejected(attempt, reason);
     connection.attempts.remove(attempt.callId());
-    pool.drop(connection);
+    pool.drop(connection, CloseReason.PROTOCOL_ERROR);
     listener.endAttempt(attempt, AttemptResult.ERROR);
   }
 
   private void protocolError(EngineConnection connection, String reason) {
     counters.add(Count.ENGINE_PROTOCOL_ERRORS);
-    log.warn(
-        "connection to engine {0} closed after a protocol error, its attempts end as lost: {1}",
-        Field.of("engine", Long.toHexString(connection.engine.value())),
-        Field.of("reason", reason),
-        Field.event("engine.closed"));
-    pool.drop(connection);
+    log.protocolError(connection, reason);
+    pool.drop(connection, CloseReason.PROTOCOL_ERROR);
   }
 }
--- a/src/main/java/cobaltseam/service/EngineConnectionPool.java
+++ b/src/main/java/cobaltseam/service/EngineConnectionPool.java
@@ -63,6 +63,7 @@
   private final Clock clock;
   private final Timers timers;
   private final Counters counters;
+  private final AttemptLog log;
   private final Listener listener;
   private final Map<EngineId, EngineEntry> engines = new HashMap<>();
   private final SlotTable<EngineConnection> connections;
@@ -77,12 +78,14 @@
       Clock clock,
       Timers timers,
       Counters counters,
+      AttemptLog log,
       Listener listener) {
     this.connector = connector;
     this.inbox = inbox;
     this.clock = clock;
     this.timers = timers;
     this.counters = counters;
+    this.log = log;
     this.listener = listener;
     applyConfiguration(configuration);
     connections = new SlotTable<>(configuration.maxSockets() / SOCKETS_PER_CONNECTION);
@@ -116,7 +119,7 @@
       if (entry.state == EndpointState.REMOVED) {
         List.copyOf(entry.connections).stream()
             .filter(connection -> connection.attempts.isEmpty() || connection.session == null)
-            .forEach(this::drop);
+            .forEach(connection -> drop(connection, CloseReason.ENDPOINT_REMOVED));
       }
     }
     engines
@@ -142,7 +145,7 @@
       // before it drained or restarted, and have to be placed again.
       boolean isPlacedBeforeChange = hasChanged && connection.session == null;
       if (isOutdated || isPlacedBeforeChange) {
-        drop(connection);
+        drop(connection, CloseReason.ENDPOINT_CHANGED);
       }
     }
   }
@@ -203,7 +206,7 @@
     EngineConnection idle = null;
     for (EngineConnection connection : List.copyOf(entry.connections)) {
       if (isIdleTooLong(connection, now)) {
-        drop(connection);
+        drop(connection, CloseReason.IDLE_TOO_LONG);
       } else if (connection.attempts.isEmpty()
           && connection.canAccept(callId, maxAttemptsPerConnection)
           && (idle == null || idle.idleSince.isBefore(connection.idleSince))) {
@@ -269,7 +272,7 @@
     if (isOpen(connection)) {
       counters.add(Count.ENGINE_CONNECTIONS_FAILED);
       setFailed(connection, true);
-      remove(connection, 0);
+      remove(connection, 0, CloseReason.CONNECT_FAILED);
     }
   }
 
@@ -277,7 +280,7 @@
   void closed(EngineConnection connection, long writtenMessages) {
     if (isOpen(connection)) {
       counters.add(Count.ENGINE_CONNECTIONS_CLOSED);
-      remove(connection, writtenMessages);
+      remove(connection, writtenMessages, CloseReason.CLOSED_BY_ENGINE);
     }
   }
 
@@ -289,7 +292,7 @@
     connection.idleSince = now;
     EngineEntry entry = engines.get(connection.engine);
     if (entry != null && entry.state == EndpointState.REMOVED) {
-      drop(connection);
+      drop(connection, CloseReason.ENDPOINT_REMOVED);
     }
   }
 
@@ -297,7 +300,7 @@
    * Closes a connection from this side. All messages written to it count as written completely,
    * since the engine may have run them.
    */
-  void drop(EngineConnection connection) {
+  void drop(EngineConnection connection, CloseReason reason) {
     if (!isOpen(connection)) {
       return;
     }
@@ -306,10 +309,13 @@
     } else {
       connection.future.cancel();
     }
-    remove(connection, Long.MAX_VALUE);
+    remove(connection, Long.MAX_VALUE, reason);
   }
 
-  private void remove(EngineConnection connection, long writtenMessages) {
+  private void remove(EngineConnection connection, long writtenMessages, CloseReason reason) {
+    if (!connection.attempts.isEmpty() || reason == CloseReason.CONNECT_FAILED) {
+      log.connectionRemoved(connection, reason);
+    }
     timers.cancel(connection.connectTimer);
     connections.free(connection.key);
     EngineEntry entry = engines.get(connection.engine);
--- a/src/main/java/cobaltseam/service/EngineConnections.java
+++ b/src/main/java/cobaltseam/service/EngineConnections.java
@@ -41,6 +41,7 @@
   private final Clock clock;
   private final Timers timers;
   private final Counters counters;
+  private final AttemptLog log;
   private final EngineConnectionPool pool;
   private final EngineAnswers answers;
   private Listener listener;
@@ -52,13 +53,15 @@
       EventLoopQueue inbox,
       Clock clock,
       Timers timers,
-      Counters counters) {
+      Counters counters,
+      AttemptLog log) {
     this.clock = clock;
     this.timers = timers;
     this.counters = counters;
-    RateLimitedLog log =
-        new RateLimitedLog(System.getLogger(EngineConnections.class.getName()), clock);
-    pool = new EngineConnectionPool(configuration, connector, inbox, clock, timers, counters, this);
+    this.log = log;
+    pool =
+        new EngineConnectionPool(
+            configuration, connector, inbox, clock, timers, counters, log, this);
     answers = new EngineAnswers(pool, this, clock, counters, log);
     connector.setHandler(new EngineInput(this, sockets, inbox));
   }
@@ -171,7 +174,7 @@
     }
     if (connection.attempts.size() == 1) {
       connection.attempts.clear();
-      pool.drop(connection);
+      pool.drop(connection, CloseReason.ATTEMPT_ABANDONED);
     } else {
       connection.addAbandoned(attempt.callId());
       connection.write(
@@ -198,6 +201,9 @@
       }
     }
     counters.add(counterOf(result));
+    if (result != AttemptResult.COMPLETED) {
+      log.attemptEnded(attempt, result, now);
+    }
     if (connection != null
         && (result == AttemptResult.TIMED_OUT || result == AttemptResult.CONNECTION_LOST)) {
       pool.setFailed(connection, true);
--- a/src/main/java/cobaltseam/service/RequestTable.java
+++ b/src/main/java/cobaltseam/service/RequestTable.java
@@ -39,6 +39,7 @@
   private final Timers timers;
   private final Clock clock;
   private final Counters counters;
+  private final AttemptLog log;
   private final StatementTranslator translator;
   private final FleetRetryLimit retryLimit;
   private final SlotTable<InFlightRequest> slots = new SlotTable<>(MAX_OPEN_REQUESTS);
@@ -60,7 +61,8 @@
       EngineConnections engines,
       Timers timers,
       Clock clock,
-      Counters counters) {
+      Counters counters,
+      AttemptLog log) {
     dispatcher = new Dispatcher(deployment, seed);
     retryLimit = new FleetRetryLimit(dispatcher, counters);
     translator = new StatementTranslator(deployment);
@@ -68,6 +70,7 @@
     this.timers = timers;
     this.clock = clock;
     this.counters = counters;
+    this.log = log;
     engines.setListener(this);
   }
 
@@ -391,6 +394,7 @@
       case SHED -> {
         retryLimit.recordIfRetryDenied(request.attemptCount);
         counters.add(Count.COMMANDS_SHED);
+        log.requestEnded(request, "shed");
         ResponseHandle responseHandle = request.responseHandle;
         remove(request);
         responseHandle.shed(placement.retryAfter());
@@ -398,6 +402,7 @@
       case FAIL -> {
         retryLimit.recordIfRetryDenied(request.attemptCount);
         counters.add(Count.COMMANDS_FAILED);
+        log.requestEnded(request, "failed");
         ResponseHandle responseHandle = request.responseHandle;
         remove(request);
         responseHandle.fail();
