--- a/src/test/java/cobaltseam/service/ProcessSignalTest.java
+++ b/src/test/java/cobaltseam/service/ProcessSignalTest.java
@@ -10,9 +10,7 @@
 import cobaltseam.standin.RequestLedger.Outcome;
 import cobaltseam.standin.StatementClient;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -63,12 +61,6 @@
     bus.close();
   }
 
-  private static InetSocketAddress freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
-      return new InetSocketAddress(HOST, socket.getLocalPort());
-    }
-  }
-
   private DispatcherProcess dispatcher(int number, InetSocketAddress listen) throws IOException {
     String configuration =
         DispatcherProcess.configuration(
@@ -83,7 +75,7 @@
   @Test
   void repeatedSignalsDuringAShutdownChangeNothingAndInFlightRequestsAreAnswered()
       throws Exception {
-    InetSocketAddress listen = freeAddress();
+    InetSocketAddress listen = DispatcherProcess.freeAddress(HOST);
     DispatcherProcess process = dispatcher(0, listen);
     process.start();
     process.awaitLogLine("serves on", 0, TIMEOUT_MS);
@@ -114,7 +106,7 @@
    */
   @Test
   void requestUnreadWhenSigtermArrivesIsAnswered() throws Exception {
-    InetSocketAddress listen = freeAddress();
+    InetSocketAddress listen = DispatcherProcess.freeAddress(HOST);
     DispatcherProcess process = dispatcher(0, listen);
     process.start();
     process.awaitLogLine("serves on", 0, TIMEOUT_MS);
@@ -141,7 +133,7 @@
   void nineOfTenProcessesRestartedAtOnceAreReadyInTime() throws Exception {
     List<InetSocketAddress> addresses = new ArrayList<>();
     for (int i = 0; i < PROCESS_COUNT; i++) {
-      addresses.add(freeAddress());
+      addresses.add(DispatcherProcess.freeAddress(HOST));
       dispatcher(i, addresses.get(i));
     }
     List<Callable<Boolean>> startTasks = new ArrayList<>();
--- a/src/test/java/cobaltseam/soak/RestartSoak.java
+++ b/src/test/java/cobaltseam/soak/RestartSoak.java
@@ -6,9 +6,7 @@
 import cobaltseam.standin.EmulatedEngine;
 import cobaltseam.standin.RequestLedger.Entry;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -63,7 +61,7 @@
     }
     String knownEvents = discovery.publish(true, endpoints.toArray(String[]::new));
     for (int i = 0; i < plan.dispatchers(); i++) {
-      addresses.add(freeAddress());
+      addresses.add(DispatcherProcess.freeAddress(HOST));
       configurations.add(
           DispatcherProcess.configuration(
               "n" + i, addresses.get(i), i, plan.dispatchers(), CORES, discovery, knownEvents));
@@ -81,12 +79,6 @@
     return EmulatedDiscovery.endpointJson(engine + 1, engines.get(engine).address(), state);
   }
 
-  private static InetSocketAddress freeAddress() throws IOException {
-    try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
-      return new InetSocketAddress(HOST, probe.getLocalPort());
-    }
-  }
-
   /** Starts all dispatchers and clients, injects the faults of the plan, and stops everything. */
   SoakRecord run() throws Exception {
     for (DispatcherProcess dispatcher : dispatchers) {
--- a/src/test/java/cobaltseam/standin/DispatcherProcess.java
+++ b/src/test/java/cobaltseam/standin/DispatcherProcess.java
@@ -5,7 +5,9 @@
 import java.io.File;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -83,6 +85,13 @@
             cores);
   }
 
+  /** Returns an address of this host with a port that is free at the moment. */
+  public static InetSocketAddress freeAddress(String host) throws IOException {
+    try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getByName(host))) {
+      return new InetSocketAddress(host, probe.getLocalPort());
+    }
+  }
+
   /** Starts the process, and returns without waiting until it serves. */
   public void start() throws IOException {
     start(List.of());
--- a/src/test/java/cobaltseam/standin/EmulatedEngine.java
+++ b/src/test/java/cobaltseam/standin/EmulatedEngine.java
@@ -15,25 +15,51 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.ToLongFunction;
 
 /**
- * An emulated engine on loopback. Each request takes a given time and is answered with one page.
- * The engine cancels the requests of a connection that closes, and records how often each request
- * ran and how many ran concurrently.
+ * An emulated engine on loopback. Each request takes a given time and is answered with one page, or
+ * with several pages that the engine then no longer has. The engine cancels the requests of a
+ * connection that closes, and records how often each request ran and how many ran concurrently.
  */
 public final class EmulatedEngine implements AutoCloseable {
   /** How often an engine started and completed one request. */
   public record Executions(AtomicInteger started, AtomicInteger completed) {}
 
+  /**
+   * One attempt at this engine, from its start until its answer was written or it was cancelled;
+   * times in nanoseconds of {@link System#nanoTime} in this process.
+   */
+  public record AttemptRecord(String callId, long startedAt, AtomicLong endedAt) {
+    /** Returns whether this attempt was in flight while another one of the same request was. */
+    public boolean overlaps(AttemptRecord other) {
+      return this != other
+          && callId.equals(other.callId)
+          && startedAt < other.endedAt.get()
+          && other.startedAt < endedAt.get();
+    }
+
+    private void end() {
+      endedAt.compareAndSet(Long.MAX_VALUE, System.nanoTime());
+    }
+  }
+
+  /** The delay between two answers for lost pages, in microseconds. */
+  private static final int LOST_PAGE_DELAY_US = 500;
+
+  private record PendingRequest(AttemptRecord attempt, ScheduledFuture<?> completion) {}
+
   private final ServerSocket server;
   private final ToLongFunction<String> executionMs;
   private final ScheduledExecutorService scheduler =
@@ -42,7 +68,12 @@
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
   private final AtomicInteger running = new AtomicInteger();
   private final AtomicInteger maxRunning = new AtomicInteger();
+  private final Queue<AttemptRecord> attempts = new ConcurrentLinkedQueue<>();
   private volatile boolean failing;
+
+  /** The number of pages of each result, of which all but the first are lost. */
+  private volatile int pages = 1;
+
   private final Map<String, Long> lastStartTimes = new ConcurrentHashMap<>();
 
   /**
@@ -86,6 +117,19 @@
     failing = isFailing;
   }
 
+  /**
+   * Sets that each result has this many pages from now on, and that every page but the first is
+   * answered with an error, as by an engine that no longer knows the result.
+   */
+  public void loseFurtherPages(int pageCount) {
+    pages = pageCount;
+  }
+
+  /** Returns all attempts so far. */
+  public List<AttemptRecord> attempts() {
+    return List.copyOf(attempts);
+  }
+
   /** Returns the number of requests that run now. */
   public int runningCount() {
     return running.get();
@@ -113,7 +157,7 @@
   }
 
   private void serve(Socket socket) {
-    Map<String, ScheduledFuture<?>> pending = new ConcurrentHashMap<>();
+    Map<String, PendingRequest> pending = new ConcurrentHashMap<>();
     try (socket) {
       DataInputStream in = new DataInputStream(new BufferedInputStream(socket.getInputStream()));
       OutputStream out = socket.getOutputStream();
@@ -123,6 +167,10 @@
         switch (items.get(0)) {
           case "PULL" -> startRequest(pending, out, id, items.get(2));
           case "KILL" -> cancel(pending.remove(id));
+          case "SCROLL" -> {
+            writeArray(out, id, "500", "-", "");
+            TimeUnit.MICROSECONDS.sleep(LOST_PAGE_DELAY_US);
+          }
           case "ECHO" -> writeArray(out, id, "alive", "-", "");
           default -> {}
         }
@@ -130,13 +178,15 @@
     } catch (IOException e) {
       // The client has disconnected, which cancels its requests.
       pending.values().forEach(this::cancel);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     } finally {
       sockets.remove(socket);
     }
   }
 
   private void startRequest(
-      Map<String, ScheduledFuture<?>> pending, OutputStream out, String id, String fields) {
+      Map<String, PendingRequest> pending, OutputStream out, String id, String fields) {
     Executions counts =
         executions.computeIfAbsent(
             id, i -> new Executions(new AtomicInteger(), new AtomicInteger()));
@@ -160,33 +210,43 @@
             .orElse("lane=")
             .substring(5);
     long durationMs = executionMs.applyAsLong(requestClass);
+    AttemptRecord attempt =
+        new AttemptRecord(id, System.nanoTime(), new AtomicLong(Long.MAX_VALUE));
+    attempts.add(attempt);
     pending.put(
         id,
-        scheduler.schedule(
-            () -> {
-              if (pending.remove(id) == null) {
-                return;
-              }
-              running.decrementAndGet();
-              counts.completed.incrementAndGet();
-              try {
-                writeArray(
-                    out,
-                    id,
-                    "200",
-                    "pages=1,rep=pending:0;busy_reqs:" + running.get(),
-                    "a\t" + id + "\tx\n");
-              } catch (IOException e) {
-                // The client has disconnected, but the request counts as completed.
-                counts.completed.get();
-              }
-            },
-            durationMs,
-            TimeUnit.MILLISECONDS));
-  }
-
-  private void cancel(ScheduledFuture<?> future) {
-    if (future != null && future.cancel(false)) {
+        new PendingRequest(
+            attempt,
+            scheduler.schedule(
+                () -> complete(pending, out, attempt), durationMs, TimeUnit.MILLISECONDS)));
+  }
+
+  private void complete(
+      Map<String, PendingRequest> pending, OutputStream out, AttemptRecord attempt) {
+    String id = attempt.callId();
+    if (pending.remove(id) == null) {
+      return;
+    }
+    running.decrementAndGet();
+    Executions counts = executions.get(id);
+    counts.completed.incrementAndGet();
+    attempt.end();
+    try {
+      writeArray(
+          out,
+          id,
+          "200",
+          "pages=" + pages + ",rep=pending:0;busy_reqs:" + running.get(),
+          "a\t" + id + "\tx\n");
+    } catch (IOException e) {
+      // The client has disconnected, but the request counts as completed.
+      counts.completed.get();
+    }
+  }
+
+  private void cancel(PendingRequest request) {
+    if (request != null && request.completion.cancel(false)) {
+      request.attempt.end();
       running.decrementAndGet();
     }
   }
