A request's call id is used once on each connection, so no stale answer reaches its retry

Cause: all attempts of a request have its call id, and answers are matched by that id within their connection. A connection remembered the ids of abandoned attempts only. After an attempt that ended by an answer (an error for a lost page, 503, 504), its retry could go over the same connection, and whatever else came for the first attempt (the errors of the other pages, a doubled answer) ended the retry, was passed on as its result, or became part of its rows. Callers saw two attempts in flight, needless sheds, and possibly rows of two attempts in one result.

Change: an open request keeps the connections its attempts were written to, and no further attempt uses them; this is exact, and bounded by the attempts of a request. A connection remembers the last 64 ids of all ended attempts, so that answers to them count as late, not unknown; late answers now count toward the bound on unsolicited ones too, and the DISCARD that answers one no longer resets it (an engine could have answered an abandoned call without end).

StaleAnswerProcessTest: fails without it, passes with it. No decision of the policy changes.

--- a/src/main/java/cobaltseam/service/Counters.java
+++ b/src/main/java/cobaltseam/service/Counters.java
@@ -61,7 +61,7 @@
     NOTES,
     /** Answers to attempts that had already ended at this dispatcher. */
     LATE_ANSWERS,
-    /** Answers with an id that belongs to no attempt. */
+    /** Answers with an id that belongs to no attempt, open or recently ended, on its connection. */
     UNKNOWN_ANSWERS,
     /** Result pages that were received more than once. */
     SECOND_COPIES,
--- a/src/main/java/cobaltseam/service/EngineAnswers.java
+++ b/src/main/java/cobaltseam/service/EngineAnswers.java
@@ -79,7 +79,7 @@
   private void process(EngineConnection connection, EngineResponse answer) {
     Attempt attempt = connection.attempts.get(answer.id());
     if (attempt == null) {
-      processUnknown(connection, answer);
+      processUnsolicited(connection, answer);
       return;
     }
     double inFlight = answer.loadReportValue(DeploymentReader.IN_FLIGHT_REPORT_FIELD);
@@ -115,20 +115,20 @@
   }
 
   /**
-   * Processes an answer to an attempt that is not on this connection: it was abandoned, or was
-   * never sent on it.
+   * Ignores an answer to an attempt that is not on this connection: it has ended, or was never sent
+   * on it.
    */
-  private void processUnknown(EngineConnection connection, EngineResponse answer) {
-    if (!connection.isAbandoned(answer.id())) {
-      counters.add(Count.UNKNOWN_ANSWERS);
+  private void processUnsolicited(EngineConnection connection, EngineResponse answer) {
+    boolean isLate = connection.hasEnded(answer.id());
+    counters.add(isLate ? Count.LATE_ANSWERS : Count.UNKNOWN_ANSWERS);
+    if (!isLate) {
       log.answerIgnored(connection, answer);
-      if (connection.countUnsolicitedAnswer()) {
-        protocolError(connection, "too many answers to unknown call ids");
-      }
-      return;
     }
-    counters.add(Count.LATE_ANSWERS);
-    if (answer.code().equals(EngineResponse.OK) && answer.integerField("pages") > 1) {
+    if (connection.countUnsolicitedAnswer()) {
+      protocolError(connection, "too many answers to ended or unknown attempts");
+    } else if (isLate
+        && answer.code().equals(EngineResponse.OK)
+        && answer.integerField("pages") > 1) {
       connection.write(EngineCommands.discard(answer.id()));
     }
   }
--- a/src/main/java/cobaltseam/service/EngineConnection.java
+++ b/src/main/java/cobaltseam/service/EngineConnection.java
@@ -2,8 +2,9 @@
 
 import cobaltseam.dispatch.EngineId;
 import cobaltseam.dispatch.Timestamp;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.ConnectFuture;
@@ -12,14 +13,14 @@
 /** One connection to one engine and the attempts on it. Confined to the event-loop thread. */
 final class EngineConnection {
   /**
-   * The number of most recent call ids of abandoned attempts that are kept, so that late answers to
+   * The number of most recent call ids of ended attempts that are kept, so that late answers to
    * them are recognized.
    */
-  private static final int MAX_ABANDONED_IDS = 256;
+  private static final int MAX_ENDED_IDS = 64;
 
   /**
-   * The number of answers to unknown call ids that an engine may write between two writes of this
-   * process.
+   * The number of answers to ended or unknown attempts that an engine may write between two
+   * requests or cancellations of this process.
    */
   private static final int MAX_UNSOLICITED_ANSWERS = 256;
 
@@ -32,15 +33,8 @@
   /** The attempts on this connection by call id. */
   final Map<String, Attempt> attempts = new HashMap<>();
 
-  private final Map<String, Boolean> abandonedIds =
-      new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-          return size() > MAX_ABANDONED_IDS;
-        }
-      };
+  /** The call ids of attempts that were written to this connection and have ended, oldest first. */
+  private final Deque<String> endedIds = new ArrayDeque<>();
 
   /** The key of this connection in the slot table of all connections. */
   long key;
@@ -74,39 +68,45 @@
    */
   long write(byte[] bytes) {
     session.write(IoBuffer.wrap(bytes));
-    unsolicitedAnswers = 0;
     return ++writtenMessages;
   }
 
+  /** Starts to count unsolicited answers from zero, as a request or a cancellation is written. */
+  void resetUnsolicitedAnswers() {
+    unsolicitedAnswers = 0;
+  }
+
   /**
-   * Counts an answer to an unknown call id.
+   * Counts an answer to an ended or unknown attempt.
    *
-   * @return whether more than {@link #MAX_UNSOLICITED_ANSWERS} were counted since the last write
+   * @return whether more than {@link #MAX_UNSOLICITED_ANSWERS} were counted since the last reset
    */
   boolean countUnsolicitedAnswer() {
     return ++unsolicitedAnswers > MAX_UNSOLICITED_ANSWERS;
   }
 
   /**
-   * Whether a further attempt may use this connection. A call id may be used on it only once, since
-   * the answers to two attempts with the same id could not be distinguished.
+   * Whether a further attempt may use this connection, as far as this connection remembers: answers
+   * to two attempts with the same id can't be distinguished, so a call id may be used on it only
+   * once.
    */
   boolean canAccept(String callId, int maxAttempts) {
     return attempts.size() < maxAttempts
         && !attempts.containsKey(callId)
-        && !abandonedIds.containsKey(callId)
+        && !endedIds.contains(callId)
         && (session == null
             || session.isActive() && session.getScheduledWriteBytes() < MAX_UNWRITTEN_BYTES);
   }
 
-  /**
-   * Records an abandoned attempt, whose answer may still be received and is then ignored as late.
-   */
-  void addAbandoned(String callId) {
-    abandonedIds.put(callId, true);
+  /** Records an ended attempt; any further answer to it is then ignored as late. */
+  void addEnded(String callId) {
+    endedIds.addLast(callId);
+    if (endedIds.size() > MAX_ENDED_IDS) {
+      endedIds.removeFirst();
+    }
   }
 
-  boolean isAbandoned(String callId) {
-    return abandonedIds.containsKey(callId);
+  boolean hasEnded(String callId) {
+    return endedIds.contains(callId);
   }
 }
--- a/src/main/java/cobaltseam/service/EngineConnectionPool.java
+++ b/src/main/java/cobaltseam/service/EngineConnectionPool.java
@@ -8,6 +8,7 @@
 import cobaltseam.service.Counters.Count;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -196,30 +197,52 @@
    * An attempt that is alone on its connection is cancelled by closing it, which also works if the
    * engine no longer responds, and interrupts no other attempt.
    *
+   * @param excluded the connections that carried earlier attempts of the same request; answers to
+   *     those may still arrive, and have the same call id
    * @return null if the engine is unknown or no connection is available
    */
-  EngineConnection select(EngineId engine, String callId, Timestamp now) {
+  EngineConnection select(
+      EngineId engine, String callId, Collection<EngineConnection> excluded, Timestamp now) {
     EngineEntry entry = engines.get(engine);
     if (entry == null || entry.address == null) {
       return null;
     }
-    EngineConnection idle = null;
+    closeIdleTooLong(entry, now);
+    List<EngineConnection> candidates =
+        entry.connections.stream()
+            .filter(connection -> !excluded.contains(connection))
+            .filter(connection -> connection.canAccept(callId, maxAttemptsPerConnection))
+            .toList();
+    EngineConnection idle = mostRecentlyUsedIdle(candidates);
+    if (idle != null) {
+      return idle;
+    }
+    EngineConnection opened = open(entry, engine, now);
+    if (opened != null) {
+      return opened;
+    }
+    return candidates.stream()
+        .min(Comparator.comparingInt(connection -> connection.attempts.size()))
+        .orElse(null);
+  }
+
+  private void closeIdleTooLong(EngineEntry entry, Timestamp now) {
     for (EngineConnection connection : List.copyOf(entry.connections)) {
       if (isIdleTooLong(connection, now)) {
         drop(connection, CloseReason.IDLE_TOO_LONG);
-      } else if (connection.attempts.isEmpty()
-          && connection.canAccept(callId, maxAttemptsPerConnection)
+      }
+    }
+  }
+
+  private static EngineConnection mostRecentlyUsedIdle(List<EngineConnection> candidates) {
+    EngineConnection idle = null;
+    for (EngineConnection connection : candidates) {
+      if (connection.attempts.isEmpty()
           && (idle == null || idle.idleSince.isBefore(connection.idleSince))) {
         idle = connection;
       }
     }
-    EngineConnection exclusive = idle == null ? open(entry, engine, now) : idle;
-    return exclusive != null
-        ? exclusive
-        : entry.connections.stream()
-            .filter(connection -> connection.canAccept(callId, maxAttemptsPerConnection))
-            .min(Comparator.comparingInt(connection -> connection.attempts.size()))
-            .orElse(null);
+    return idle;
   }
 
   private boolean isIdleTooLong(EngineConnection connection, Timestamp now) {
--- a/src/main/java/cobaltseam/service/EngineConnections.java
+++ b/src/main/java/cobaltseam/service/EngineConnections.java
@@ -3,9 +3,7 @@
 import cobaltseam.dispatch.AttemptOutcome.AttemptResult;
 import cobaltseam.dispatch.EngineId;
 import cobaltseam.dispatch.Placement;
-import cobaltseam.dispatch.RequestId;
 import cobaltseam.dispatch.Timestamp;
-import cobaltseam.postgres.Statement;
 import cobaltseam.resp.EngineCommands;
 import cobaltseam.resp.EngineResponse;
 import cobaltseam.service.Counters.Count;
@@ -108,16 +106,15 @@
    * Starts an attempt. The listener is notified of its outcome after this method has returned,
    * never during the call.
    */
-  Attempt startAttempt(
-      RequestId requestId, int number, Placement placement, Statement statement, Timestamp now) {
+  Attempt startAttempt(InFlightRequest request, int number, Placement placement, Timestamp now) {
     EngineId engine = placement.engine();
-    Attempt attempt =
-        new Attempt(
-            requestId, number, engine, statement, now, now.plus(placement.attemptTimeout()));
+    Timestamp deadline = now.plus(placement.attemptTimeout());
+    Attempt attempt = new Attempt(request.id, number, engine, request.statement, now, deadline);
     attempt.startBy =
         placement.maxStartDelay() == null ? null : now.plus(placement.maxStartDelay());
     counters.add(Count.SENDS);
-    EngineConnection connection = pool.select(engine, attempt.callId(), now);
+    EngineConnection connection =
+        pool.select(engine, attempt.callId(), request.usedConnections, now);
     if (connection == null) {
       attempt.timeout = timers.set(now, () -> endAttempt(attempt, AttemptResult.UNREACHABLE));
       return attempt;
@@ -135,9 +132,8 @@
    * Creates an attempt that is not allowed to be sent. Its outcome, {@link
    * AttemptResult#NEVER_SENT}, follows after this method has returned.
    */
-  Attempt createUnsentAttempt(
-      RequestId requestId, int number, EngineId engine, Statement statement, Timestamp now) {
-    Attempt attempt = new Attempt(requestId, number, engine, statement, now, now);
+  Attempt createUnsentAttempt(InFlightRequest request, int number, EngineId engine, Timestamp now) {
+    Attempt attempt = new Attempt(request.id, number, engine, request.statement, now, now);
     counters.add(Count.SENDS);
     attempt.timeout = timers.set(now, () -> endAttempt(attempt, AttemptResult.NEVER_SENT));
     return attempt;
@@ -176,7 +172,7 @@
       connection.attempts.clear();
       pool.drop(connection, CloseReason.ATTEMPT_ABANDONED);
     } else {
-      connection.addAbandoned(attempt.callId());
+      connection.resetUnsolicitedAnswers();
       connection.write(
           attempt.result == null
               ? EngineCommands.kill(attempt.callId())
@@ -196,6 +192,9 @@
     Timestamp now = clock.now();
     if (connection != null) {
       connection.attempts.remove(attempt.callId());
+      if (attempt.writePosition > 0) {
+        connection.addEnded(attempt.callId());
+      }
       if (connection.attempts.isEmpty()) {
         pool.becameIdle(connection, now);
       }
@@ -212,6 +211,7 @@
   }
 
   private void write(Attempt attempt, Timestamp now) {
+    attempt.connection.resetUnsolicitedAnswers();
     long timeoutMs = Math.max(1, (attempt.deadline.since(now).us() + US_PER_MS - 1) / US_PER_MS);
     attempt.writePosition =
         attempt.connection.write(
@@ -228,7 +228,7 @@
    * a connection.
    */
   void checkHealth(EngineId engine, Timestamp now) {
-    EngineConnection connection = pool.select(engine, "", now);
+    EngineConnection connection = pool.select(engine, "", List.of(), now);
     if (connection != null && connection.session != null) {
       connection.write(EngineCommands.echo("probe"));
     }
--- a/src/main/java/cobaltseam/service/InFlightRequest.java
+++ b/src/main/java/cobaltseam/service/InFlightRequest.java
@@ -2,6 +2,8 @@
 
 import cobaltseam.dispatch.RequestId;
 import cobaltseam.postgres.Statement;
+import java.util.ArrayList;
+import java.util.List;
 
 /**
  * A request that has no final answer yet, or an attempt of which still runs. Owned by the
@@ -23,6 +25,9 @@
   /** The running attempt, or null. */
   Attempt attempt;
 
+  /** The connections that ended attempts of this request were written to. */
+  final List<EngineConnection> usedConnections = new ArrayList<>();
+
   InFlightRequest(Statement statement, ResponseHandle responseHandle) {
     id = new RequestId(statement.callId());
     this.statement = statement;
--- a/src/main/java/cobaltseam/service/RequestTable.java
+++ b/src/main/java/cobaltseam/service/RequestTable.java
@@ -274,6 +274,9 @@
       return;
     }
     request.attempt = null;
+    if (attempt.writePosition > 0) {
+      request.usedConnections.add(attempt.connection);
+    }
     publishLoad(attempt, now);
     ResponseHandle completed = null;
     if (result == AttemptResult.COMPLETED) {
@@ -416,9 +419,8 @@
     int number = request.attemptCount++;
     request.attempt =
         isAllowed
-            ? engines.startAttempt(request.id, number, placement, request.statement, clock.now())
-            : engines.createUnsentAttempt(
-                request.id, number, placement.engine(), request.statement, clock.now());
+            ? engines.startAttempt(request, number, placement, clock.now())
+            : engines.createUnsentAttempt(request, number, placement.engine(), clock.now());
   }
 
   private void recordFault(RuntimeException fault) {
