An idle connection gives way when an engine without one needs it and no more may be open

Cause: with as many connections as may be open (a third of the descriptors), idle ones included, an engine without a connection got none: its attempts ended as unreachable, which also counted against its health, until idle connections elsewhere ran into their time-out. With more engines than connections that is the usual state. Change: the connection that has been idle longest, at any engine, is closed and replaced. In use ones stay, and sharing one at the same engine still goes first. EngineConnectionsTest.idleConnectionToOneEngineGivesWayToAnotherEngine: fails without it (no attempt reaches the engine within 10 s), passes with it.

--- a/src/main/java/cobaltseam/service/EngineConnectionPool.java
+++ b/src/main/java/cobaltseam/service/EngineConnectionPool.java
@@ -194,7 +194,8 @@
   /**
    * Selects the connection for one more attempt: the most recently used idle one, else a new one. A
    * connection is shared only if no more can be opened, and then the one with the fewest attempts.
-   * An attempt that is alone on its connection is cancelled by closing it, which also works if the
+   * If none can be shared either, a new one replaces the connection that has been idle longest. An
+   * attempt that is alone on its connection is cancelled by closing it, which also works if the
    * engine no longer responds, and interrupts no other attempt.
    *
    * @param excluded the connections that carried earlier attempts of the same request; answers to
@@ -221,9 +222,14 @@
     if (opened != null) {
       return opened;
     }
-    return candidates.stream()
-        .min(Comparator.comparingInt(connection -> connection.attempts.size()))
-        .orElse(null);
+    EngineConnection shared =
+        candidates.stream()
+            .min(Comparator.comparingInt(connection -> connection.attempts.size()))
+            .orElse(null);
+    if (shared != null || !evictLongestIdle()) {
+      return shared;
+    }
+    return open(entry, engine, now);
   }
 
   private void closeIdleTooLong(EngineEntry entry, Timestamp now) {
@@ -245,6 +251,20 @@
     return idle;
   }
 
+  /** Closes the connection that has been idle longest; returns whether there was an idle one. */
+  private boolean evictLongestIdle() {
+    EngineConnection longestIdle =
+        engines.values().stream()
+            .flatMap(entry -> entry.connections.stream())
+            .filter(connection -> connection.attempts.isEmpty())
+            .min(Comparator.comparing(connection -> connection.idleSince))
+            .orElse(null);
+    if (longestIdle != null) {
+      drop(longestIdle, CloseReason.EVICTED);
+    }
+    return longestIdle != null;
+  }
+
   private boolean isIdleTooLong(EngineConnection connection, Timestamp now) {
     return connection.attempts.isEmpty()
         && maxIdle.isPositive()
--- a/src/test/java/cobaltseam/service/EngineConnectionsTest.java
+++ b/src/test/java/cobaltseam/service/EngineConnectionsTest.java
@@ -16,6 +16,8 @@
 
 /** Tests sharing, reuse, refusal and closing of connections to engines. */
 class EngineConnectionsTest extends ServiceRig {
+  private static final int SOCKETS_FOR_ONE_CONNECTION = 5;
+
   /**
    * An engine behind a network partition reads no cancel message: only closing its connection ends
    * the attempt reliably.
@@ -48,7 +50,7 @@
   @Test
   void attemptOnSharedConnectionIsCancelledByMessage() throws Exception {
     EmulatedPeer engine = new EmulatedPeer(true);
-    start(5, IDLE_MS, engine);
+    start(SOCKETS_FOR_ONE_CONNECTION, IDLE_MS, engine);
     TestClient one = new TestClient(statement("once", 1, 700));
     Message first = engine.next("PULL");
     TestClient two = new TestClient(statement("once", 2, 3000));
@@ -117,4 +119,29 @@
       }
     }
   }
+
+  /** Guards against engines that count as unreachable because others hold all connections, idle. */
+  @Test
+  void idleConnectionToOneEngineGivesWayToAnotherEngine() throws Exception {
+    EmulatedPeer one = new EmulatedPeer(true);
+    EmulatedPeer two = new EmulatedPeer(true);
+    EmulatedPeer bus = start(SOCKETS_FOR_ONE_CONNECTION, IDLE_MS, one, two);
+    Message watch = bus.next("from 7");
+    TestClient client = new TestClient(idempotentStatement(1, 3000));
+    Message first = nextFromAny(one, two);
+    first.answer(first.id(), "200", "pages=1", ROWS);
+    assertEquals("SELECT 2", client.readReplies().get(2));
+    boolean isOneUsed = first.from().getLocalPort() == one.server.getLocalPort();
+    EmulatedPeer used = isOneUsed ? one : two;
+    EmulatedPeer unused = isOneUsed ? two : one;
+    watch.write(
+        endpointEvent(8, false, endpointJson(isOneUsed ? 1 : 2, used.address(), "terminating"))
+            + "\n");
+    awaitCounter(client, "bus_events|1");
+    client.writeQuery(client.out, idempotentStatement(2, 3000));
+    Message second = unused.next("PULL");
+    second.answer(second.id(), "200", "pages=1", ROWS);
+    assertEquals("SELECT 2", client.readReplies().get(2));
+    used.next("closed");
+  }
 }
