--- a/src/test/java/cobaltseam/standin/DispatcherProcess.java
+++ b/src/test/java/cobaltseam/standin/DispatcherProcess.java
@@ -25,6 +25,7 @@
   private final Path folder;
   private final Path settingsFile;
   private final List<String> log = new ArrayList<>();
+  private final Map<String, String> environment = new HashMap<>();
   private Process process;
 
   /**
@@ -85,6 +86,11 @@
             cores);
   }
 
+  /** Has the process started with the faults of its system calls. */
+  public void setFaults(SystemCallFaults faults) {
+    environment.putAll(faults.environment());
+  }
+
   /** Returns an address of this host with a port that is free at the moment. */
   public static InetSocketAddress freeAddress(String host) throws IOException {
     try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getByName(host))) {
@@ -120,6 +126,7 @@
     ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
     builder.environment().put("GW_CONFIG", folder.resolve("config.json").toString());
     builder.environment().keySet().removeAll(List.of("GW_NAME", "GW_LISTEN", "COBALTSEAM_CONFIG"));
+    builder.environment().putAll(environment);
     process = builder.start();
     Process started = process;
     EmulatedEngine.daemonThread(
