A failed accept pauses the acceptor for milliseconds instead of a second

Cause: MINA's acceptor thread sleeps for a second after an accept that throws (ENFILE, ENOBUFS), while all that waits in the backlog runs out of its deadline. Callers saw connects of 1 to 3 s. Change: BoundedAcceptor catches the exception, counts it (client_accepts_failed), logs it (client.accept_failed, rate-limited) and tries again after 2 ms. For EMFILE MINA pauses for 50 ms itself, before the exception can be caught; that stays.

--- a/src/main/java/cobaltseam/service/Counters.java
+++ b/src/main/java/cobaltseam/service/Counters.java
@@ -136,7 +136,9 @@
     /** Requests that ended without a result after an attempt while no retry was left. */
     REPEATS_DENIED,
     /** Client connections that were closed for lack of a first statement. */
-    CLIENTS_TIMED_OUT;
+    CLIENTS_TIMED_OUT,
+    /** Client connections whose accept failed for a reason on this machine. */
+    CLIENT_ACCEPTS_FAILED;
 
     /** The name as printed. */
     String label() {
--- a/src/main/java/cobaltseam/service/DispatcherService.java
+++ b/src/main/java/cobaltseam/service/DispatcherService.java
@@ -132,7 +132,9 @@
         new BoundedAcceptor(
             executor,
             processor,
-            ClientConnections.maxAcceptedConnections(configuration.maxSockets()));
+            ClientConnections.maxAcceptedConnections(configuration.maxSockets()),
+            clock,
+            counters);
     configure(engineConnector.getSessionConfig());
     configure(watchConnector.getSessionConfig());
     configure(acceptor.getSessionConfig());
