A connect that fails on this machine is repeated and says nothing against the engine

Cause: a socket or connect that failed for a reason on this machine (ENFILE, EMFILE, ENOBUFS, EADDRNOTAVAIL, ENETUNREACH; at once or by SO_ERROR) ended the attempts that waited for it as unreachable, at once: three attempts of a request were gone within milliseconds, the engine counted as failing, and the client was shed although it had 2 s. Change: such a connect is repeated after 5 ms, doubled up to 100 ms, until the connect timeout; the attempts wait. What is still without a connection then ends as local_failure, which never ran and leaves the engine's health alone, as does an attempt for which no further connection may be open. A refused connection, a timeout and an unreachable host (ECONNREFUSED, ETIMEDOUT, EHOSTUNREACH) count against the engine as before.

--- a/src/main/java/cobaltseam/dispatch/AttemptOutcome.java
+++ b/src/main/java/cobaltseam/dispatch/AttemptOutcome.java
@@ -33,7 +33,11 @@
     UNREACHABLE(true),
     CONNECTION_LOST(false),
     CANCELLED(false),
-    NEVER_SENT(true);
+    NEVER_SENT(true),
+    /**
+     * No connection could be opened for a reason on this machine, which says nothing of engines.
+     */
+    LOCAL_FAILURE(true);
 
     private final boolean neverRan;
 
--- a/src/main/java/cobaltseam/service/Counters.java
+++ b/src/main/java/cobaltseam/service/Counters.java
@@ -138,7 +138,11 @@
     /** Client connections that were closed for lack of a first statement. */
     CLIENTS_TIMED_OUT,
     /** Client connections whose accept failed for a reason on this machine. */
-    CLIENT_ACCEPTS_FAILED;
+    CLIENT_ACCEPTS_FAILED,
+    /** Connects to engines that failed for a reason on this machine, and were repeated. */
+    ENGINE_CONNECTS_REPEATED,
+    /** Attempts that were not sent since no connection could be opened on this machine. */
+    SENDS_LOCAL_FAILURE;
 
     /** The name as printed. */
     String label() {
--- a/src/main/java/cobaltseam/service/EngineConnection.java
+++ b/src/main/java/cobaltseam/service/EngineConnection.java
@@ -1,6 +1,7 @@
 package cobaltseam.service;
 
 import cobaltseam.dispatch.EngineId;
+import cobaltseam.dispatch.TimeSpan;
 import cobaltseam.dispatch.Timestamp;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -42,6 +43,12 @@
   ConnectFuture future;
   Timers.Timer connectTimer;
 
+  /** Starts the next connect after one that failed on this machine; null if there was none. */
+  Timers.Timer connectRetryTimer;
+
+  /** The pause before the next connect; null unless the last one failed on this machine. */
+  TimeSpan connectBackoff;
+
   /** Null until the connection is established. */
   IoSession session;
 
@@ -98,6 +105,11 @@
             || session.isActive() && session.getScheduledWriteBytes() < MAX_UNWRITTEN_BYTES);
   }
 
+  /** Whether this connection waits since its last connect failed for a reason on this machine. */
+  boolean hasLocalFailure() {
+    return connectBackoff != null;
+  }
+
   /** Records an ended attempt; any further answer to it is then ignored as late. */
   void addEnded(String callId) {
     endedIds.addLast(callId);
--- a/src/main/java/cobaltseam/service/EngineConnectionPool.java
+++ b/src/main/java/cobaltseam/service/EngineConnectionPool.java
@@ -6,7 +6,10 @@
 import cobaltseam.dispatch.TimeSpan;
 import cobaltseam.dispatch.Timestamp;
 import cobaltseam.service.Counters.Count;
+import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.net.NoRouteToHostException;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -42,6 +45,14 @@
    */
   private static final double MAX_IDLE_FRACTION = 0.9;
 
+  /**
+   * The first and the longest pause after a connect that failed on this machine; each one in a row
+   * is twice as long as the last.
+   */
+  private static final TimeSpan MIN_CONNECT_BACKOFF_US = new TimeSpan(5_000);
+
+  private static final TimeSpan MAX_CONNECT_BACKOFF_US = new TimeSpan(100_000);
+
   /** At most one in this many of the configured sockets may be a connection to an engine. */
   private static final int SOCKETS_PER_CONNECTION = 3;
 
@@ -279,9 +290,6 @@
       return null;
     }
     entry.connections.add(connection);
-    connection.future =
-        connector.connect(
-            entry.address, (session, future) -> EngineInput.attach(session, connection));
     connection.connectTimer =
         timers.set(
             now.plus(connectTimeout),
@@ -289,21 +297,31 @@
               connection.future.cancel();
               connectFailed(connection);
             });
-    connection.future.addListener(
-        (ConnectFuture future) -> inbox.post(null, () -> connectEnded(connection)));
+    connect(connection, entry.address);
     return connection;
   }
 
-  private void connectEnded(EngineConnection connection) {
+  private void connect(EngineConnection connection, InetSocketAddress address) {
+    connection.future =
+        connector.connect(address, (session, future) -> EngineInput.attach(session, connection));
+    connection.future.addListener(
+        (ConnectFuture future) -> inbox.post(null, () -> connectEnded(connection, address)));
+  }
+
+  private void connectEnded(EngineConnection connection, InetSocketAddress address) {
     if (!isOpen(connection)) {
       if (connection.future.isConnected()) {
         connection.future.getSession().closeNow();
       }
+    } else if (isLocalFailure(connection.future.getException())) {
+      connectAgain(connection, address);
     } else if (!connection.future.isConnected()) {
+      connection.connectBackoff = null;
       connectFailed(connection);
     } else {
       counters.add(Count.ENGINE_CONNECTIONS);
       timers.cancel(connection.connectTimer);
+      connection.connectBackoff = null;
       connection.session = connection.future.getSession();
       Timestamp now = clock.now();
       connection.receivedAt = now;
@@ -311,10 +329,33 @@
     }
   }
 
+  /**
+   * Returns whether a connect failed for a reason on this machine, such as a lack of descriptors,
+   * ports or buffers, or a missing route. The peer is responsible for a refused connection, a
+   * timeout, and a host that can't be reached.
+   */
+  private static boolean isLocalFailure(Throwable failure) {
+    return failure instanceof IOException
+        && !(failure instanceof ConnectException)
+        && !(failure instanceof NoRouteToHostException);
+  }
+
+  /** Connects again after a pause, unless the connect timeout ends the connection before. */
+  private void connectAgain(EngineConnection connection, InetSocketAddress address) {
+    counters.add(Count.ENGINE_CONNECTS_REPEATED);
+    TimeSpan last = connection.connectBackoff;
+    connection.connectBackoff =
+        last == null ? MIN_CONNECT_BACKOFF_US : last.times(2).min(MAX_CONNECT_BACKOFF_US);
+    connection.connectRetryTimer =
+        timers.set(clock.now().plus(connection.connectBackoff), () -> connect(connection, address));
+  }
+
   private void connectFailed(EngineConnection connection) {
     if (isOpen(connection)) {
       counters.add(Count.ENGINE_CONNECTIONS_FAILED);
-      setFailed(connection, true);
+      if (!connection.hasLocalFailure()) {
+        setFailed(connection, true);
+      }
       remove(connection, 0, CloseReason.CONNECT_FAILED);
     }
   }
@@ -360,6 +401,7 @@
       log.connectionRemoved(connection, reason);
     }
     timers.cancel(connection.connectTimer);
+    timers.cancel(connection.connectRetryTimer);
     connections.free(connection.key);
     EngineEntry entry = engines.get(connection.engine);
     if (entry != null) {
--- a/src/main/java/cobaltseam/service/EngineConnections.java
+++ b/src/main/java/cobaltseam/service/EngineConnections.java
@@ -116,7 +116,7 @@
     EngineConnection connection =
         pool.select(engine, attempt.callId(), request.usedConnections, now);
     if (connection == null) {
-      attempt.timeout = timers.set(now, () -> endAttempt(attempt, AttemptResult.UNREACHABLE));
+      attempt.timeout = timers.set(now, () -> endAttempt(attempt, AttemptResult.LOCAL_FAILURE));
       return attempt;
     }
     attempt.timeout = timers.set(attempt.deadline, () -> abandon(attempt, AttemptResult.TIMED_OUT));
@@ -165,7 +165,7 @@
     }
     EngineConnection connection = attempt.connection;
     if (connection == null || attempt.writePosition == 0) {
-      endAttempt(attempt, AttemptResult.UNREACHABLE);
+      endAttempt(attempt, unsentResult(connection));
       return;
     }
     if (connection.attempts.size() == 1) {
@@ -181,6 +181,12 @@
     endAttempt(attempt, result);
   }
 
+  /** Returns the result of an attempt that was not written to its connection. */
+  private static AttemptResult unsentResult(EngineConnection connection) {
+    boolean isLocal = connection != null && connection.hasLocalFailure();
+    return isLocal ? AttemptResult.LOCAL_FAILURE : AttemptResult.UNREACHABLE;
+  }
+
   @Override
   public void endAttempt(Attempt attempt, AttemptResult result) {
     if (attempt.hasEnded) {
@@ -244,6 +250,7 @@
       case CONNECTION_LOST -> Count.SENDS_CUT;
       case CANCELLED -> Count.SENDS_CANCELLED;
       case NEVER_SENT -> Count.SENDS_NEVER_SENT;
+      case LOCAL_FAILURE -> Count.SENDS_LOCAL_FAILURE;
     };
   }
 
@@ -271,7 +278,7 @@
   public void removed(EngineConnection connection, long writtenMessages) {
     for (Attempt attempt : List.copyOf(connection.attempts.values())) {
       boolean neverRan = attempt.writePosition == 0 || attempt.writePosition > writtenMessages;
-      endAttempt(attempt, neverRan ? AttemptResult.UNREACHABLE : AttemptResult.CONNECTION_LOST);
+      endAttempt(attempt, neverRan ? unsentResult(connection) : AttemptResult.CONNECTION_LOST);
     }
   }
 
