A step of the wall clock times out no connect and no pending write

Cause: MINA measures its connect timeout (60 s) and its write timeout (60 s) by the wall clock. After a step by an hour every connect that was pending ended as a failure of its engine. Change: both are out of reach of a step; our timers, which are monotonic, bound each connect as before, and attempts, closing connections and eviction bound what is unsent. ClockStepTest.pendingConnectSurvivesAStep fails without it (sends_unreachable is 1), passes with it. Its other six cases (steps by 5 s and an hour, both ways, with a request in flight or at the start) pass without it too. That a pending write was cut is from MINA's documented behaviour; no test shows it.

--- a/src/main/java/cobaltseam/service/DispatcherService.java
+++ b/src/main/java/cobaltseam/service/DispatcherService.java
@@ -12,6 +12,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
@@ -53,6 +54,15 @@
   private static final int ACCEPT_BACKLOG = 1024;
   private static final int MAX_READ_BYTES = 1 << 14;
 
+  /**
+   * A connect timeout beyond any step of the wall clock, by which MINA measures it. {@link Timers}
+   * bound each connect.
+   */
+  private static final long DISABLED_CONNECT_TIMEOUT_MS = Duration.ofDays(365).toMillis();
+
+  /** MINA measures its write timeout by the wall clock; zero turns it off. */
+  private static final int DISABLED_WRITE_TIMEOUT_S = 0;
+
   /** Null unless virtual addresses are enabled. */
   private VirtualAddressService virtualAddresses;
 
@@ -138,6 +148,8 @@
     configure(engineConnector.getSessionConfig());
     configure(watchConnector.getSessionConfig());
     configure(acceptor.getSessionConfig());
+    engineConnector.setConnectTimeoutMillis(DISABLED_CONNECT_TIMEOUT_MS);
+    watchConnector.setConnectTimeoutMillis(DISABLED_CONNECT_TIMEOUT_MS);
     acceptor.setReuseAddress(true);
     // Keeps connections with open requests when the last listener closes.
     acceptor.setCloseOnDeactivation(false);
@@ -155,6 +167,7 @@
     sessions.setTcpNoDelay(true);
     sessions.setKeepAlive(true);
     sessions.setMaxReadBufferSize(MAX_READ_BYTES);
+    sessions.setWriteTimeout(DISABLED_WRITE_TIMEOUT_S);
   }
 
   // ---- entry points of the process
