An engine's start time is translated to the monotonic clock once, and is never in the future

Cause: boot_ms is a wall-clock time. It was compared with a clock that read the wall clock at the process's start. After all machines were stepped back by an hour, a start was taken for an hour old: the engine got its full load while cold, and a later restart was no restart, as its time was before the last one. After a step forward a start lay an hour in the future: the engine stayed at its first fraction for that hour, and connections to it were dropped at each event. Change: EngineStartTimes keeps one translation for each listed start. Its age is the lower one of the ages by the wall clock now and by the wall clock at the start, as too young is safe and too old is not; without a step nothing changes. Not covered: the clock of the engine's machine alone is behind, which no time that we see can tell.

--- a/src/main/java/cobaltseam/service/Clock.java
+++ b/src/main/java/cobaltseam/service/Clock.java
@@ -12,9 +12,17 @@
 final class Clock {
   private static final int NANOS_PER_MICRO = 1000;
 
-  private final long startUs = ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now());
+  private final long startUs = wallNow().us();
   private final long startNanos = System.nanoTime();
 
+  /**
+   * Returns the time of the wall clock, which may be stepped at any moment; to be compared only
+   * with times that another process read from a wall clock.
+   */
+  static Timestamp wallNow() {
+    return new Timestamp(ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now()));
+  }
+
   /** Returns the current time. */
   Timestamp now() {
     return new Timestamp(us());
--- a/src/main/java/cobaltseam/service/RequestTable.java
+++ b/src/main/java/cobaltseam/service/RequestTable.java
@@ -44,6 +44,7 @@
   private final FleetRetryLimit retryLimit;
   private final SlotTable<InFlightRequest> slots = new SlotTable<>(MAX_OPEN_REQUESTS);
   private final Map<RequestId, InFlightRequest> requestsById = new HashMap<>();
+  private final EngineStartTimes engineStarts = new EngineStartTimes();
   private Timers.Timer nextStepTimer;
 
   /** Whether this dispatcher may start attempts now; by default always. */
@@ -120,9 +121,10 @@
   }
 
   /** Applies a change of the endpoint list, or the complete list. */
-  void updateEndpoints(WatchEvent event) {
-    engines.updateEndpoints(event);
+  void updateEndpoints(WatchEvent listed) {
     Timestamp now = clock.now();
+    WatchEvent event = engineStarts.translate(listed, now, Clock.wallNow());
+    engines.updateEndpoints(event);
     dispatcher.updateEndpoints(event.endpoints(), event.isComplete(), now);
     isNextStepDue = true;
   }
