Files and the listener are tried again while their system calls fail for a moment

Cause: one failed open or read of the configuration (EIO, ENFILE) ended a start with exit code 1, or lost the new configuration of a SIGHUP for good; a listener that could not be opened for a moment ended the start too. Change: RetryingIo repeats these for up to 3 s; a file that is missing or forbidden and an address in use fail at once as before. SystemCallFaultTest: reloadOutlivesAnOutageOfReads, startOutlivesAnOutageOfReads and startOutlivesAnOutageOfSocket fail without it and pass with it; startOutlivesFailedAccepts passes on both.

--- a/src/main/java/cobaltseam/service/ConfigurationReloader.java
+++ b/src/main/java/cobaltseam/service/ConfigurationReloader.java
@@ -1,12 +1,12 @@
 package cobaltseam.service;
 
+import cobaltseam.deployment.RetryingIo;
 import cobaltseam.logging.Field;
 import cobaltseam.service.Counters.Count;
 import cobaltseam.settings.Settings;
 import cobaltseam.settings.SettingsReader;
 import java.io.IOException;
 import java.lang.System.Logger.Level;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
 import sun.misc.Signal;
@@ -111,7 +111,7 @@
           !isAgreementOn
               ? null
               : AgreedConfiguration.document(
-                  Files.readAllBytes(Path.of(environment.get("GW_CONFIG"))));
+                  RetryingIo.readFile(Path.of(environment.get("GW_CONFIG"))));
       eventLoop.post(
           null,
           () -> {
--- a/src/main/java/cobaltseam/service/DispatcherService.java
+++ b/src/main/java/cobaltseam/service/DispatcherService.java
@@ -1,5 +1,6 @@
 package cobaltseam.service;
 
+import cobaltseam.deployment.RetryingIo;
 import cobaltseam.dispatch.TimeSpan;
 import cobaltseam.dispatch.Timestamp;
 import cobaltseam.logging.Field;
@@ -10,7 +11,6 @@
 import java.io.IOException;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Map;
@@ -192,7 +192,7 @@
       service.enableVirtualAddresses(settings.virtualAddresses());
     }
     if (settings != null && settings.membership() != null) {
-      service.enableFleet(settings, Files.readAllBytes(Path.of(System.getenv("GW_CONFIG"))));
+      service.enableFleet(settings, RetryingIo.readFile(Path.of(System.getenv("GW_CONFIG"))));
     }
     service.reloadOnHangUp(System.getenv());
     Runtime.getRuntime()
@@ -333,7 +333,11 @@
   void open() throws IOException {
     startEndpointWatch();
     if (virtualAddresses == null || virtualAddresses.answersAsBackup()) {
-      acceptor.bind(reloader.configuration().listen());
+      RetryingIo.run(
+          () -> {
+            acceptor.bind(reloader.configuration().listen());
+            return null;
+          });
     }
     if (virtualAddresses != null) {
       virtualAddresses.open();
--- a/src/main/java/cobaltseam/service/ServiceConfiguration.java
+++ b/src/main/java/cobaltseam/service/ServiceConfiguration.java
@@ -3,14 +3,15 @@
 import cobaltseam.deployment.DeploymentReader;
 import cobaltseam.deployment.InvalidInputException;
 import cobaltseam.deployment.JsonObjectReader;
+import cobaltseam.deployment.RetryingIo;
 import cobaltseam.dispatch.Deployment;
 import cobaltseam.dispatch.TimeSpan;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
-import java.io.File;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -67,7 +68,7 @@
           "the environment variable GW_CONFIG must name the configuration file");
     }
     JsonObjectReader document;
-    try (JsonParser parser = new JsonFactory().createParser(new File(path))) {
+    try (JsonParser parser = new JsonFactory().createParser(RetryingIo.readFile(Path.of(path)))) {
       document = JsonObjectReader.of(parser);
     } catch (JsonProcessingException e) {
       throw new InvalidInputException(
--- a/src/main/java/cobaltseam/settings/SettingValues.java
+++ b/src/main/java/cobaltseam/settings/SettingValues.java
@@ -1,6 +1,7 @@
 package cobaltseam.settings;
 
 import cobaltseam.authentication.KeyRing;
+import cobaltseam.deployment.RetryingIo;
 import cobaltseam.dispatch.TimeSpan;
 import cobaltseam.vrrp.Addresses;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -8,7 +9,7 @@
 import java.net.Inet6Address;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 
 /** Converts types of values that several sections of the settings file use; collects errors. */
@@ -87,7 +88,8 @@
     }
     String keyFile = seal.path("keys").asText();
     try {
-      KeyRing keys = KeyRing.parse(Files.readString(resolve(keyFile)));
+      KeyRing keys =
+          KeyRing.parse(new String(RetryingIo.readFile(resolve(keyFile)), StandardCharsets.UTF_8));
       if (!keys.contains(seal.path("write_key").asInt())) {
         errors.add(
             section + ".seal.write_key",
--- a/src/main/java/cobaltseam/settings/SettingsReader.java
+++ b/src/main/java/cobaltseam/settings/SettingsReader.java
@@ -1,12 +1,14 @@
 package cobaltseam.settings;
 
 import cobaltseam.deployment.InvalidInputException;
+import cobaltseam.deployment.RetryingIo;
 import com.fasterxml.jackson.core.JacksonException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import java.io.IOException;
 import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 
@@ -51,11 +53,12 @@
 
   private static JsonNode readToml(Path file) {
     try {
-      if (Files.size(file) > MAX_FILE_BYTES) {
+      if (RetryingIo.run(() -> Files.size(file)) > MAX_FILE_BYTES) {
         throw new InvalidInputException(
             file + ": the file is longer than " + MAX_FILE_BYTES + " bytes");
       }
-      return new TomlMapper().readTree(Files.readString(file));
+      return new TomlMapper()
+          .readTree(new String(RetryingIo.readFile(file), StandardCharsets.UTF_8));
     } catch (JacksonException e) {
       throw new InvalidInputException(
           file
--- a/src/test/java/cobaltseam/service/SystemCallFaultTest.java
+++ b/src/test/java/cobaltseam/service/SystemCallFaultTest.java
@@ -40,9 +40,15 @@
   /** Most of a second: what one failed accept must not cost other clients. */
   private static final int MAX_CONNECT_MS = 500;
 
+  /** Within this, nine in ten restarts have to be ready. */
+  private static final int MAX_READY_MS = 10_000;
+
   /** How long calls fail without exception, well within the deadline. */
   private static final int OUTAGE_MS = 400;
 
+  /** Longer than a start waits for discovery before it opens its listener. */
+  private static final int START_OUTAGE_MS = 1500;
+
   @TempDir Path folder;
 
   private EmulatedEngine engine;
@@ -50,22 +56,23 @@
   private DispatcherProcess dispatcher;
   private SystemCallFaults faults;
   private InetSocketAddress address;
+  private String configuration;
   private int calls;
 
   @BeforeEach
-  void start() throws Exception {
+  void prepare() throws Exception {
     engine = new EmulatedEngine(HOST, requestClass -> EXECUTION_MS);
     discovery = new EmulatedDiscovery(HOST);
-    faults = new SystemCallFaults(folder, null, 1);
+    faults = new SystemCallFaults(folder, folder, 1);
     address = DispatcherProcess.freeAddress(HOST);
     String known =
         discovery.publish(true, EmulatedDiscovery.endpointJson(1, engine.address(), "in_service"));
-    dispatcher =
-        new DispatcherProcess(
-            folder,
-            DispatcherProcess.configuration("n0", address, 0, 1, CORES, discovery, known),
-            null);
+    configuration = DispatcherProcess.configuration("n0", address, 0, 1, CORES, discovery, known);
+    dispatcher = new DispatcherProcess(folder, configuration, null);
     dispatcher.setFaults(faults);
+  }
+
+  private void startDispatcher() throws Exception {
     dispatcher.start();
     dispatcher.awaitLogLine("serves on", 0, START_TIMEOUT_MS);
   }
@@ -92,6 +99,7 @@
   @ParameterizedTest
   @EnumSource(names = {"ENFILE", "EMFILE", "ENOBUFS", "ECONNABORTED"})
   void failedAcceptDelaysNoOtherClient(Failure failure) throws Exception {
+    startDispatcher();
     faults.inject(Call.ACCEPT, failure, 3);
     for (int i = 0; i < REQUESTS; i++) {
       long startedAt = System.nanoTime();
@@ -109,6 +117,7 @@
    */
   @Test
   void listenerSurvivesAnOutageOfAccept() throws Exception {
+    startDispatcher();
     faults.inject(Call.ACCEPT, Failure.EMFILE, 1);
     Thread outage = clearAfterOutage();
     try (StatementClient client = new StatementClient(address, CLIENT_TIMEOUT_MS)) {
@@ -139,6 +148,7 @@
   }
 
   private void assertAnsweredAfterOutage(Call call, Failure failure) throws Exception {
+    startDispatcher();
     try (StatementClient client = new StatementClient(address, CLIENT_TIMEOUT_MS)) {
       faults.inject(call, failure, 1);
       Thread outage = clearAfterOutage();
@@ -150,11 +160,15 @@
 
   /** Lets all calls succeed again after {@link #OUTAGE_MS}; the duration itself is tested. */
   private Thread clearAfterOutage() {
+    return clearAfter(OUTAGE_MS);
+  }
+
+  private Thread clearAfter(int outageMs) {
     Thread thread =
         new Thread(
             () -> {
               try {
-                Thread.sleep(OUTAGE_MS);
+                Thread.sleep(outageMs);
               } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
               }
@@ -167,6 +181,7 @@
   /** Guards against messages that are lost or mixed up when they arrive or leave byte by byte. */
   @Test
   void shortReadsAndWritesLoseNothing() throws Exception {
+    startDispatcher();
     faults.inject(Call.READ, Failure.ONE_BYTE, 2);
     faults.inject(Call.WRITE, Failure.ONE_BYTE, 2);
     assertAllAnswered();
@@ -175,6 +190,7 @@
   /** Guards against waits that end, or spin, when a signal interrupts them. */
   @Test
   void interruptedWaitsLoseNothing() throws Exception {
+    startDispatcher();
     faults.inject(Call.WAIT, Failure.EINTR, 2);
     assertAllAnswered();
   }
@@ -187,4 +203,58 @@
     }
     assertTrue(!faults.injected().isEmpty(), "no call failed");
   }
+
+  /** Guards against a start that fails since its configuration can't be read for a moment. */
+  @Test
+  void startOutlivesAnOutageOfReads() throws Exception {
+    faults.inject(Call.FILE_READ, Failure.ENFILE, 1);
+    dispatcher.start();
+    while (dispatcher.isAlive() && faults.injected().isEmpty()) {
+      Thread.onSpinWait();
+    }
+    Thread outage = clearAfterOutage();
+    dispatcher.awaitLogLine("serves on", 0, START_TIMEOUT_MS);
+    outage.join();
+    assertAnswered();
+  }
+
+  /** Guards against a start that fails since its listener can't be opened for a moment. */
+  @Test
+  void startOutlivesAnOutageOfSocket() throws Exception {
+    faults.inject(Call.SOCKET, Failure.ENFILE, 1);
+    dispatcher.start();
+    dispatcher.awaitLogLine("the warm-up failed", 0, START_TIMEOUT_MS);
+    Thread outage = clearAfter(START_OUTAGE_MS);
+    dispatcher.awaitLogLine("serves on", 0, START_TIMEOUT_MS);
+    outage.join();
+    assertAnswered();
+  }
+
+  /** Guards against a warm-up that never ends since its own accept failed. */
+  @Test
+  void startOutlivesFailedAccepts() throws Exception {
+    faults.inject(Call.ACCEPT, Failure.ENFILE, 3);
+    dispatcher.start();
+    dispatcher.awaitLogLine("serves on", 0, MAX_READY_MS);
+    assertAnswered();
+  }
+
+  /** Guards against a new configuration that is lost since its file can't be read for a moment. */
+  @Test
+  void reloadOutlivesAnOutageOfReads() throws Exception {
+    startDispatcher();
+    int fromLine = dispatcher.logLineCount();
+    faults.inject(Call.FILE_READ, Failure.EIO, 1);
+    dispatcher.writeConfiguration(configuration.replace("100000", "100001"));
+    dispatcher.signal("HUP");
+    clearAfterOutage().join();
+    dispatcher.awaitLogLine("has reloaded its configuration", fromLine, CLIENT_TIMEOUT_MS);
+    assertTrue(!faults.injected().isEmpty(), "no call failed");
+  }
+
+  private void assertAnswered() throws Exception {
+    try (StatementClient client = new StatementClient(address, CLIENT_TIMEOUT_MS)) {
+      assertEquals(Outcome.ANSWERED, execute(client), report());
+    }
+  }
 }
