--- a/src/test/java/cobaltseam/standin/DispatcherProcess.java
+++ b/src/test/java/cobaltseam/standin/DispatcherProcess.java
@@ -198,6 +198,11 @@
     process.destroyForcibly().waitFor();
   }
 
+  /** Waits until the process has ended; returns whether it did within this time. */
+  public boolean awaitExitWithin(long timeoutMs) throws InterruptedException {
+    return process.waitFor(timeoutMs, TimeUnit.MILLISECONDS);
+  }
+
   /** Sends SIGTERM, and returns the counters that the process prints when it ends. */
   public Map<String, Long> terminate() throws IOException, InterruptedException {
     int from = logLineCount();
--- a/src/test/java/cobaltseam/standin/StatementClient.java
+++ b/src/test/java/cobaltseam/standin/StatementClient.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -17,17 +18,27 @@
 public final class StatementClient implements AutoCloseable {
   private static final int CONNECT_TIMEOUT_MS = 1000;
 
+  private static final int CANCEL_REQUEST_CODE = 80877102;
+  private static final int CANCEL_REQUEST_BYTES = 16;
+
+  private final InetSocketAddress address;
   private final Socket socket = new Socket();
   private final DataInputStream in;
   private final DataOutputStream out;
   private String lastError = "";
 
+  /** The key of the session, which a cancel request names. */
+  private int sessionNumber;
+
+  private int cancelSecret;
+
   /**
    * Connects and starts a session.
    *
    * @param timeoutMs how long the client waits for each answer
    */
   public StatementClient(InetSocketAddress address, int timeoutMs) throws IOException {
+    this.address = address;
     try {
       socket.connect(address, CONNECT_TIMEOUT_MS);
       socket.setTcpNoDelay(true);
@@ -65,6 +76,22 @@
             .formatted(requestClass, callId, deadlineMs, workMs));
   }
 
+  /** Sends a cancel request for the open statement, on a connection of its own. */
+  public void cancel() throws IOException {
+    try (Socket connection = new Socket()) {
+      connection.connect(address, CONNECT_TIMEOUT_MS);
+      connection
+          .getOutputStream()
+          .write(
+              ByteBuffer.allocate(CANCEL_REQUEST_BYTES)
+                  .putInt(CANCEL_REQUEST_BYTES)
+                  .putInt(CANCEL_REQUEST_CODE)
+                  .putInt(sessionNumber)
+                  .putInt(cancelSecret)
+                  .array());
+    }
+  }
+
   /** Waits for the outcome of the statement that was sent last. */
   public Outcome awaitOutcome() {
     try {
@@ -117,6 +144,11 @@
         case 'Z' -> {
           return outcome;
         }
+        case 'K' -> {
+          ByteBuffer key = ByteBuffer.wrap(body);
+          sessionNumber = key.getInt();
+          cancelSecret = key.getInt();
+        }
         case 'C' -> outcome = Outcome.ANSWERED;
         case 'D' -> {
           if (rows != null) {
