Tests: connections that break as ETIMEDOUT, EHOSTUNREACH, ECONNRESET or EPIPE

A read from an engine that fails ends the attempt as lost: an idempotent request is retried and answered, another one fails after one attempt. A client connection that breaks at a read or a write ends with its request, and the next client is served.

--- a/src/test/java/cobaltseam/service/SystemCallFaultTest.java
+++ b/src/test/java/cobaltseam/service/SystemCallFaultTest.java
@@ -29,6 +29,10 @@
   private static final String HOST = "127.0.0.1";
   private static final int START_TIMEOUT_MS = 30_000;
   private static final int EXECUTION_MS = 5;
+
+  /** Long enough for a test to change the faults while a request is at the engine. */
+  private static final int BROKEN_EXECUTION_MS = 200;
+
   private static final int CORES = 8;
   private static final int DEADLINE_MS = 2000;
 
@@ -57,11 +61,12 @@
   private SystemCallFaults faults;
   private InetSocketAddress address;
   private String configuration;
+  private volatile int executionMs = EXECUTION_MS;
   private int calls;
 
   @BeforeEach
   void prepare() throws Exception {
-    engine = new EmulatedEngine(HOST, requestClass -> EXECUTION_MS);
+    engine = new EmulatedEngine(HOST, requestClass -> executionMs);
     discovery = new EmulatedDiscovery(HOST);
     faults = new SystemCallFaults(folder, folder, 1);
     address = DispatcherProcess.freeAddress(HOST);
@@ -257,4 +262,48 @@
       assertEquals(Outcome.ANSWERED, execute(client), report());
     }
   }
+
+  /** Guards against a broken engine connection that is not retried, or retried where it may not. */
+  @ParameterizedTest
+  @EnumSource(names = {"ETIMEDOUT", "EHOSTUNREACH", "ECONNRESET"})
+  void brokenEngineConnectionIsRetriedOnlyIfIdempotent(Failure failure) throws Exception {
+    startDispatcher();
+    try (StatementClient client = new StatementClient(address, CLIENT_TIMEOUT_MS)) {
+      assertEquals(Outcome.FAILED, executeWithBrokenRead(client, "once", failure), report());
+      assertEquals(1, engine.attempts().size(), report());
+      assertEquals(Outcome.ANSWERED, executeWithBrokenRead(client, "look", failure), report());
+      assertEquals(3, engine.attempts().size(), report());
+    }
+  }
+
+  /** Sends a request whose first attempt is at the engine when reads begin to fail. */
+  private Outcome executeWithBrokenRead(
+      StatementClient client, String requestClass, Failure failure) throws Exception {
+    int attemptsBefore = engine.attempts().size();
+    String callId = "%016x".formatted(++calls);
+    executionMs = BROKEN_EXECUTION_MS;
+    client.send(callId, requestClass, DEADLINE_MS, BROKEN_EXECUTION_MS);
+    while (engine.attempts().size() == attemptsBefore) {
+      Thread.onSpinWait();
+    }
+    faults.inject(Call.READ, failure, 1);
+    dispatcher.awaitLogLine("attempt 0 of call " + callId, 0, CLIENT_TIMEOUT_MS);
+    faults.clear();
+    return client.awaitOutcome();
+  }
+
+  /** Guards against a broken client connection that leaves its request running or unanswered. */
+  @ParameterizedTest
+  @EnumSource(names = {"ETIMEDOUT", "EHOSTUNREACH", "EPIPE"})
+  void brokenClientConnectionEndsOnlyItself(Failure failure) throws Exception {
+    startDispatcher();
+    try (StatementClient broken = new StatementClient(address, CLIENT_TIMEOUT_MS);
+        StatementClient other = new StatementClient(address, CLIENT_TIMEOUT_MS)) {
+      faults.inject(failure == Failure.EPIPE ? Call.WRITE : Call.READ, failure, 1);
+      broken.send("%016x".formatted(++calls), "once", DEADLINE_MS, EXECUTION_MS);
+      assertEquals(Outcome.DISCONNECTED, broken.awaitOutcome(), report());
+      faults.clear();
+      assertEquals(Outcome.ANSWERED, execute(other), report());
+    }
+  }
 }
