Measured usage of capacity leases is independent of when each process read its wall clock

Cause of RealFleetTest.capacityFollowsDemandAndNeverExceedsTheTotal (peak 1.169 of the whole), as far as it can be shown: each process counts its times from the wall clock at its own start, and the rig compared the times of several processes. The leases themselves hand over spans only. Change: spread.parts has a field machineUs beside us, the same time by the machine's monotonic clock, and the rig measures by that. The second guess is closed too: after a SIGSTOP the rig waits until the log reader has been idle for 50 ms in a row, instead of 50 ms at all.

--- a/src/main/java/cobaltseam/fleet/CapacityUsage.java
+++ b/src/main/java/cobaltseam/fleet/CapacityUsage.java
@@ -9,13 +9,14 @@
 /**
  * Reconstructs from the logs of real processes how much of the total capacity they used over time.
  * Each log line gives the amounts that a process may use from a time on and how long each of them
- * is valid. All processes run on one machine and so share a clock. This class is independent of the
- * code that grants capacity.
+ * is valid. All processes run on one machine and so share its monotonic clock, by which all times
+ * here are measured; each process counts its own times from the wall clock at its start, which may
+ * have been stepped between two starts. This class is independent of the code that grants capacity.
  */
 final class CapacityUsage {
   /**
    * The amounts that one process may use from {@code fromUs} on, in chronological order, each until
-   * its own end; times in microseconds since the epoch.
+   * its own end; times in microseconds of the machine's monotonic clock.
    */
   record UsageRecord(int process, long fromUs, long[] untilUs, double[] amounts) {
     double amountAt(long us) {
@@ -27,15 +28,23 @@
       return 0;
     }
 
-    static UsageRecord read(int process, long fromUs, String steps) {
+    /**
+     * Reads a log line.
+     *
+     * @param loggedUs the time of the line by the clock of the process
+     * @param machineUs the same time by the machine's monotonic clock
+     * @param steps the amounts, each with its end by the clock of the process
+     */
+    static UsageRecord read(int process, long loggedUs, long machineUs, String steps) {
       String[] fields = steps.split(" ");
       long[] until = new long[fields.length];
       double[] amounts = new double[fields.length];
       for (int i = 0; i < fields.length; i++) {
         amounts[i] = Double.parseDouble(fields[i].substring(0, fields[i].indexOf('@')));
-        until[i] = Long.parseLong(fields[i].substring(fields[i].indexOf('@') + 1));
+        long untilUs = Long.parseLong(fields[i].substring(fields[i].indexOf('@') + 1));
+        until[i] = untilUs == Long.MAX_VALUE ? untilUs : untilUs - loggedUs + machineUs;
       }
-      return new UsageRecord(process, fromUs, until, amounts);
+      return new UsageRecord(process, machineUs, until, amounts);
     }
   }
 
--- a/src/main/java/cobaltseam/fleet/ProcessRecord.java
+++ b/src/main/java/cobaltseam/fleet/ProcessRecord.java
@@ -19,5 +19,12 @@
   String quorumState = "none";
   int starts;
   boolean isSuspended;
+
+  /** Whether all that was read of the log is processed; written by the thread that reads it. */
+  volatile boolean isLogReaderIdle;
+
+  /** Environment variables of the process, in addition to those of this one. */
+  final Map<String, String> environment = new HashMap<>();
+
   final Map<String, Integer> events = new HashMap<>();
 }
--- a/src/main/java/cobaltseam/fleet/RealFleet.java
+++ b/src/main/java/cobaltseam/fleet/RealFleet.java
@@ -13,8 +13,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
-import java.time.Instant;
-import java.time.temporal.ChronoUnit;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -33,6 +31,11 @@
  */
 public final class RealFleet implements AutoCloseable {
 
+  /** How often, and how many times in a row, the log of a suspended process must have no input. */
+  private static final int LOG_READ_INTERVAL_MS = 5;
+
+  private static final int EMPTY_READS_OF_LOG = 10;
+
   private static final ObjectMapper JSON = new ObjectMapper();
   private final RealFleetPlan plan;
   private final List<Fault> faults;
@@ -126,8 +129,9 @@
     return usage.peak(nowUs()).amount();
   }
 
+  /** Returns the machine's monotonic clock, which the processes log as well. */
   private static long nowUs() {
-    return ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now());
+    return TimeUnit.NANOSECONDS.toMicros(System.nanoTime());
   }
 
   /** Seconds since this fleet was created. */
@@ -173,6 +177,11 @@
         String.format(java.util.Locale.ROOT, "%.3f %s %s", scriptTimeS(), action, name(index)));
   }
 
+  /** Adds environment variables to each later start of a process. */
+  public void addEnvironment(int index, Map<String, String> variables) {
+    processes[index].environment.putAll(variables);
+  }
+
   /** Starts a process, or restarts one that has ended. */
   public void start(int index) throws IOException {
     ProcessRecord state = processes[index];
@@ -196,6 +205,7 @@
         .environment()
         .put("GW_CONFIG", folder.resolve(name(index)).resolve("config.json").toString());
     builder.environment().keySet().removeAll(List.of("GW_NAME", "GW_LISTEN", "COBALTSEAM_CONFIG"));
+    builder.environment().putAll(state.environment);
     synchronized (this) {
       state.incarnation = 0;
       state.view = null;
@@ -220,7 +230,13 @@
             new BufferedReader(
                 new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
         BufferedWriter copy = Files.newBufferedWriter(file)) {
-      for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+      while (true) {
+        processes[index].isLogReaderIdle = !lines.ready();
+        String line = lines.readLine();
+        processes[index].isLogReaderIdle = false;
+        if (line == null) {
+          return;
+        }
         copy.write(line);
         copy.newLine();
         if (line.startsWith("{")) {
@@ -273,7 +289,10 @@
     } else if (event.equals("spread.parts") && !isEarlierStart && !state.isSuspended) {
       usage.record(
           CapacityUsage.UsageRecord.read(
-              index, line.path("us").asLong(), line.path("steps").asText()));
+              index,
+              line.path("us").asLong(),
+              line.path("machineUs").asLong(),
+              line.path("steps").asText()));
     } else if (event.equals("membership.standing") && !isEarlierStart) {
       state.quorumState = line.path("standing").asText();
     }
@@ -312,14 +331,24 @@
   public void suspend(int index) throws IOException, InterruptedException {
     logAction("stop", index);
     signal(index, "STOP");
-    // Leaves time to read what the process logged before its suspension.
-    TimeUnit.MILLISECONDS.sleep(50);
+    awaitLogRead(index);
     processes[index].isSuspended = true;
     usageWhenSuspended.put(index, usage.current(index));
     usage.recordEnd(index, nowUs());
     recordActivation(index, List.of());
   }
 
+  /** Waits until all is read that a suspended process logged before its suspension. */
+  private void awaitLogRead(int index) throws InterruptedException {
+    ProcessRecord state = processes[index];
+    int readsInARow = 0;
+    while (readsInARow < EMPTY_READS_OF_LOG) {
+      TimeUnit.MILLISECONDS.sleep(LOG_READ_INTERVAL_MS);
+      boolean isRead = !state.process.isAlive() || state.isLogReaderIdle;
+      readsInARow = isRead ? readsInARow + 1 : 0;
+    }
+  }
+
   /** Resumes a process with SIGCONT. */
   public void resume(int index) throws IOException, InterruptedException {
     recordActivation(index, processes[index].activeVersions);
--- a/src/main/java/cobaltseam/service/Clock.java
+++ b/src/main/java/cobaltseam/service/Clock.java
@@ -23,6 +23,14 @@
     return new Timestamp(ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now()));
   }
 
+  /**
+   * Translates a time to the machine's monotonic clock in microseconds, which all processes of one
+   * machine share.
+   */
+  long machineUs(Timestamp time) {
+    return startNanos / NANOS_PER_MICRO + time.us() - startUs;
+  }
+
   /** Returns the current time. */
   Timestamp now() {
     return new Timestamp(us());
--- a/src/main/java/cobaltseam/service/FleetService.java
+++ b/src/main/java/cobaltseam/service/FleetService.java
@@ -391,6 +391,7 @@
           "usable shares of the engine capacity, each with its end in microseconds: {0}",
           Field.of("steps", current.sharesText()),
           Field.of("us", now.us()),
+          Field.of("machineUs", clock.machineUs(now)),
           Field.event("spread.parts"));
     }
   }
--- a/src/test/java/cobaltseam/fleet/RealFleetTest.java
+++ b/src/test/java/cobaltseam/fleet/RealFleetTest.java
@@ -16,6 +16,7 @@
 import cobaltseam.standin.EmulatedEngine;
 import cobaltseam.standin.RequestLedger;
 import cobaltseam.standin.StatementClient;
+import cobaltseam.standin.SystemCallFaults;
 import cobaltseam.transport.MessageCodec;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -24,6 +25,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
@@ -34,6 +36,7 @@
  * timeout.
  */
 class RealFleetTest {
+  private static final int CLOCK_OFFSET_MS = 1000;
   private static final double TIMEOUT_S = 60;
 
   @TempDir Path folder;
@@ -418,6 +421,28 @@
     }
   }
 
+  /** Guards against leases, or their measurement, that depend on when a wall clock was read. */
+  @Test
+  void capacityStaysWithinTheTotalIfWallClocksDiffer() throws Exception {
+    AtomicBoolean stop = new AtomicBoolean();
+    SystemCallFaults clocks = new SystemCallFaults(folder, null, 1);
+    clocks.setClockOffset(CLOCK_OFFSET_MS, TimeUnit.MILLISECONDS);
+    try (RealFleet fleet =
+        new RealFleet(RealFleetPlan.of(3).withCapacityLeases(1000), List.of(), 9, folder)) {
+      fleet.addEnvironment(1, clocks.environment());
+      fleet.startAll();
+      assertSettlesWithoutViolations(fleet);
+      // Longer than the offset, so that a difference of the clocks shows when shares change.
+      Thread.sleep(2 * CLOCK_OFFSET_MS);
+      startOverloadingClient(fleet, 0, 200, stop);
+      awaitUsedShare(fleet, 0, 0.6);
+      assertTrue(fleet.peakUsage() <= 1 + 1e-9, "peak usage: " + fleet.peakUsage());
+      assertTrue(fleet.peakUsage() > 0.9, "the history contains the usage: " + fleet.peakUsage());
+    } finally {
+      stop.set(true);
+    }
+  }
+
   @Test
   void engineReportsReachAllMembersAndEachRequestHasOneOutcome() throws Exception {
     AtomicBoolean stop = new AtomicBoolean();
