--- a/src/test/java/cobaltseam/soak/RestartSoakTest.java
+++ b/src/test/java/cobaltseam/soak/RestartSoakTest.java
@@ -47,7 +47,8 @@
               + soakRecord.readyMs()
               + " ms, last starts after a drain "
               + soakRecord.startsAfterDrainMs()
-              + " ms";
+              + " ms, overlapping attempts "
+              + soakRecord.overlappingAttempts();
       System.out.println(
           "soak seed "
               + seed
--- a/src/test/java/cobaltseam/standin/DispatcherProcess.java
+++ b/src/test/java/cobaltseam/standin/DispatcherProcess.java
@@ -5,6 +5,7 @@
 import java.io.File;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -15,6 +16,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -22,6 +24,11 @@
  * it. Its standard output and error are kept as its log, over all starts.
  */
 public final class DispatcherProcess implements AutoCloseable {
+  /** Ports below those that Linux chooses for outgoing connections. */
+  private static final int MIN_PORT = 15_000;
+
+  private static final int MAX_PORT = 32_000;
+
   private final Path folder;
   private final Path settingsFile;
   private final List<String> log = new ArrayList<>();
@@ -91,10 +98,19 @@
     environment.putAll(faults.environment());
   }
 
-  /** Returns an address of this host with a port that is free at the moment. */
+  /**
+   * Returns an address of this host with a port that is free at the moment, and that the system
+   * chooses for no outgoing connection.
+   */
   public static InetSocketAddress freeAddress(String host) throws IOException {
-    try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getByName(host))) {
-      return new InetSocketAddress(host, probe.getLocalPort());
+    while (true) {
+      int port = ThreadLocalRandom.current().nextInt(MIN_PORT, MAX_PORT);
+      try (ServerSocket probe = new ServerSocket(port, 1, InetAddress.getByName(host))) {
+        return new InetSocketAddress(host, probe.getLocalPort());
+      } catch (BindException e) {
+        // The port is in use; another one is tried.
+        continue;
+      }
     }
   }
 
