A request that was unread while the process was suspended keeps its client's deadline

Cause: the time of a request counted from when it was read. A dispatcher that was suspended, or starved, for a second passed on 2,489 ms to an engine where the client had 1,493 ms left; 0.15 s more than that is allowed. Change: the I/O thread looks for input at least every 110 ms. Where it did not for 130 ms, input that it reads then counts from the last time it looked, the earliest at which it can have come. SuspensionTest fails without it (2,489 ms, of which the client has 1,493), passes with it; its second part holds that a suspension long past takes nothing from a later request.

--- a/src/main/java/cobaltseam/service/ClientInput.java
+++ b/src/main/java/cobaltseam/service/ClientInput.java
@@ -50,7 +50,6 @@
   private final Listener listener;
   private final SocketProcessor sockets;
   private final EventLoopQueue inbox;
-  private final Clock clock;
 
   /** Bytes of all clients' messages, complete or not, that have not been processed yet. */
   private final AtomicLong bufferedBytes = new AtomicLong();
@@ -66,17 +65,11 @@
   /**
    * @param memoryBytes the memory limit of the process
    */
-  ClientInput(
-      Listener listener,
-      long memoryBytes,
-      SocketProcessor sockets,
-      EventLoopQueue inbox,
-      Clock clock) {
+  ClientInput(Listener listener, long memoryBytes, SocketProcessor sockets, EventLoopQueue inbox) {
     this.listener = listener;
     maxBufferedBytes = memoryBytes / MEMORY_PER_BUFFERED_BYTE;
     this.sockets = sockets;
     this.inbox = inbox;
-    this.clock = clock;
   }
 
   @Override
@@ -94,7 +87,7 @@
       discard(client, input.remaining());
       return;
     }
-    Timestamp readAt = clock.now();
+    Timestamp readAt = sockets.arrivalTime();
     client.receivedBytes += input.remaining();
     client.parser.parse(input.buf(), clientMessage -> post(client, clientMessage, readAt));
     updateParserBytes(client, client.parser.bufferBytes());
--- a/src/main/java/cobaltseam/service/ClientSessions.java
+++ b/src/main/java/cobaltseam/service/ClientSessions.java
@@ -75,7 +75,7 @@
             Arrays.stream(Count.values())
                 .map(count -> new String[] {count.label(), Long.toString(counters.get(count))})
                 .toList());
-    input = new ClientInput(this, configuration.memoryBytes(), sockets, inbox, clock);
+    input = new ClientInput(this, configuration.memoryBytes(), sockets, inbox);
     connections =
         new ClientConnections(
             configuration.maxSockets(),
--- a/src/main/java/cobaltseam/service/DispatcherService.java
+++ b/src/main/java/cobaltseam/service/DispatcherService.java
@@ -81,7 +81,7 @@
       Executors.newCachedThreadPool(DispatcherService::newIoThread);
 
   /** The only I/O thread, for clients and engines, since the process has one core. */
-  final SocketProcessor processor = new SocketProcessor(executor);
+  final SocketProcessor processor = new SocketProcessor(executor, clock);
 
   final BoundedAcceptor acceptor;
   private final NioSocketConnector engineConnector = new NioSocketConnector(executor, processor);
--- a/src/main/java/cobaltseam/service/SocketProcessor.java
+++ b/src/main/java/cobaltseam/service/SocketProcessor.java
@@ -1,5 +1,7 @@
 package cobaltseam.service;
 
+import cobaltseam.dispatch.TimeSpan;
+import cobaltseam.dispatch.Timestamp;
 import java.io.IOException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
@@ -15,13 +17,33 @@
 /**
  * The processor of the I/O thread that serves all sockets. It adds two functions to those of Apache
  * MINA: it runs tasks after all available input was read, since a connection that looks silent to
- * the event loop may have bytes in the kernel's buffers, and it shuts down the output of a
- * connection that is still read.
+ * the event loop may have bytes in the kernel's buffers; it shuts down the output of a connection
+ * that is still read; and it bounds the time that input was unread.
  */
 final class SocketProcessor extends NioProcessor {
   /** The timeout of a select while tasks wait for its end. */
   private static final int PENDING_TASKS_TIMEOUT_MS = 1;
 
+  /**
+   * The longest wait for input, so that a suspension can be told from a wait. MINA takes a shorter
+   * one than 100 ms that returns nothing for a broken selector.
+   */
+  private static final int MAX_WAIT_MS = 110;
+
+  /**
+   * A time between two reads of all input that is longer than this shows that the process was
+   * suspended or starved; in microseconds.
+   */
+  private static final TimeSpan MAX_READ_INTERVAL_US = new TimeSpan(130_000);
+
+  private final Clock clock;
+
+  /** When all available input was last looked for; used on the I/O thread. */
+  private Timestamp lastSelectedAt;
+
+  /** The earliest time at which input of the current round can have arrived. */
+  private Timestamp earliestArrival;
+
   /** Tasks that any thread has passed to {@link #runAfterReading}. */
   private final Queue<Runnable> requestedTasks = new ConcurrentLinkedQueue<>();
 
@@ -31,8 +53,24 @@
   /** Tasks that run after all input of the current select is read. */
   private List<Runnable> roundEndTasks = new ArrayList<>();
 
-  SocketProcessor(Executor threads) {
+  SocketProcessor(Executor threads, Clock clock) {
     super(threads);
+    this.clock = clock;
+    lastSelectedAt = clock.now();
+    earliestArrival = lastSelectedAt;
+  }
+
+  /**
+   * Returns when input that is read now has arrived: now, or, if the process was suspended, the
+   * earliest time that is possible. To be called on the I/O thread.
+   */
+  Timestamp arrivalTime() {
+    Timestamp now = clock.now();
+    return isTooLong(now.since(earliestArrival)) ? earliestArrival : now;
+  }
+
+  private static boolean isTooLong(TimeSpan interval) {
+    return interval.compareTo(MAX_READ_INTERVAL_US) > 0;
   }
 
   /**
@@ -107,8 +145,18 @@
       tasksAfterSelect.add(task);
     }
     dueTasks.forEach(Runnable::run);
+    Timestamp startedAt = clock.now();
+    int selected = selectUpTo(timeout);
+    Timestamp now = clock.now();
+    earliestArrival = lastSelectedAt;
+    // A wait that a suspension interrupts may end without looking for input again.
+    lastSelectedAt = selected == 0 && isTooLong(now.since(startedAt)) ? startedAt : now;
+    return selected;
+  }
+
+  private int selectUpTo(long timeout) throws Exception {
     if (tasksAfterSelect.isEmpty()) {
-      return super.select(timeout);
+      return super.select(Math.min(timeout, MAX_WAIT_MS));
     }
     int selected = super.select(PENDING_TASKS_TIMEOUT_MS);
     // Without this, MINA would take a select that returns early with no keys for a broken selector.
--- a/src/test/java/cobaltseam/service/SuspensionTest.java
+++ b/src/test/java/cobaltseam/service/SuspensionTest.java
@@ -29,6 +29,20 @@
 
   @TempDir Path folder;
 
+  /** Guards against a suspension that is counted against a request that arrives long after it. */
+  private static void assertFullDeadlineAfterQuietSuspension(
+      DispatcherProcess dispatcher, StatementClient client, EmulatedEngine engine)
+      throws Exception {
+    dispatcher.signal("STOP");
+    // The duration itself is tested.
+    Thread.sleep(SUSPENSION_MS);
+    dispatcher.signal("CONT");
+    // Longer than a dispatcher waits for input at a time.
+    Thread.sleep(SUSPENSION_MS);
+    assertEquals(Outcome.ANSWERED, client.execute("0000000000000003", "once", DEADLINE_MS, 5));
+    assertTrue(engine.lastTimeToLiveMs() > DEADLINE_MS - SUSPENSION_MS / 2, dispatcher.log());
+  }
+
   /** Guards against an engine's deadline that ignores how long a request was unread. */
   @Test
   void deadlineOfEngineCountsFromBeforeASuspension() throws Exception {
@@ -58,6 +72,7 @@
           assertTrue(
               engine.lastTimeToLiveMs() <= remainingMs + DEADLINE_SLACK_MS,
               engine.lastTimeToLiveMs() + " ms, of which the client has " + remainingMs);
+          assertFullDeadlineAfterQuietSuspension(dispatcher, client, engine);
         }
       }
     }
