--- /dev/null
+++ b/review/stand-2/Bus.java
@@ -0,0 +1,109 @@
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The event bus: numbered events of the list of engines, and the last number every second. */
+final class Bus {
+  private final ServerSocket server = new ServerSocket();
+  private final List<String> events = new ArrayList<>();
+
+  /** How long a connection waits for its first line from now on, in milliseconds. */
+  volatile long firstLineDelayMs;
+
+  Bus(String host) throws IOException {
+    server.bind(Stand.freeAddress(host), 64);
+    Stand.daemon(this::accept);
+  }
+
+  InetSocketAddress address() {
+    return (InetSocketAddress) server.getLocalSocketAddress();
+  }
+
+  static String target(String uid, InetSocketAddress address, String state, long bootMs) {
+    return String.format(
+        "{\"uid\":\"%s\",\"endpoint\":\"%s\",\"az\":\"z\",\"model\":\"m\",\"pod_group\":0,"
+            + "\"state\":\"%s\",\"capacity_hint\":1,\"boot_ms\":%d}",
+        uid, Stand.text(address), state, bootMs);
+  }
+
+  /** Adds an event and returns its text. */
+  synchronized String publish(boolean whole, String... targets) {
+    int number = events.size() + 1;
+    String event =
+        String.format(
+            "{\"offset\":%d,\"topology\":{\"rev\":%d,\"all\":%b,\"targets\":[%s]}}",
+            number, number, whole, String.join(",", targets));
+    events.add(event);
+    Stand.note("bus has event " + event);
+    notifyAll();
+    return event;
+  }
+
+  /** The events so far, as a configuration has them under "known". */
+  synchronized String known() {
+    return String.format(
+        "{\"offset\":%d,\"batch\":[%s]}", events.size(), String.join(",", events));
+  }
+
+  private void accept() {
+    while (true) {
+      try {
+        Socket socket = server.accept();
+        Stand.daemon(() -> serve(socket));
+      } catch (IOException e) {
+        return;
+      }
+    }
+  }
+
+  private void serve(Socket socket) {
+    String peer = "watch from port " + socket.getPort();
+    try (socket) {
+      socket.setTcpNoDelay(true);
+      String line =
+          new BufferedReader(
+                  new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII))
+              .readLine();
+      if (line == null) {
+        return;
+      }
+      int next = Integer.parseInt(line.substring(line.indexOf(' ') + 1).strip());
+      Stand.note("bus: " + peer + " asks: " + line);
+      long delay = firstLineDelayMs;
+      Stand.sleep(delay);
+      OutputStream out = socket.getOutputStream();
+      while (true) {
+        StringBuilder text = new StringBuilder();
+        synchronized (this) {
+          for (; next < events.size(); next++) {
+            text.append(events.get(next)).append('\n');
+          }
+          text.append(next).append('\n');
+        }
+        out.write(text.toString().getBytes(StandardCharsets.US_ASCII));
+        out.flush();
+        if (delay > 0) {
+          Stand.note("bus: " + peer + " is told, up to " + next);
+          delay = 0;
+        }
+        synchronized (this) {
+          long end = Stand.ms() + 1000;
+          while (next == events.size() && Stand.ms() < end) {
+            wait(Math.max(1, end - Stand.ms()));
+          }
+        }
+      }
+    } catch (IOException e) {
+      Stand.note("bus: " + peer + " is gone (" + e.getMessage() + ")");
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
