--- a/review/stand-2/Bus.java
+++ b/review/stand-2/Bus.java
@@ -27,10 +27,16 @@
   }
 
   static String target(String uid, InetSocketAddress address, String state, long bootMs) {
+    return target(uid, address, state, bootMs, 0);
+  }
+
+  /** An engine of a cell, which is a group of engines that drop each other's repeats. */
+  static String target(
+      String uid, InetSocketAddress address, String state, long bootMs, int cell) {
     return String.format(
-        "{\"uid\":\"%s\",\"endpoint\":\"%s\",\"az\":\"z\",\"model\":\"m\",\"pod_group\":0,"
+        "{\"uid\":\"%s\",\"endpoint\":\"%s\",\"az\":\"z\",\"model\":\"m\",\"pod_group\":%d,"
             + "\"state\":\"%s\",\"capacity_hint\":1,\"boot_ms\":%d}",
-        uid, Stand.text(address), state, bootMs);
+        uid, Stand.text(address), cell, state, bootMs);
   }
 
   /** Adds an event and returns its text. */
--- a/review/stand-2/Config.java
+++ b/review/stand-2/Config.java
@@ -9,6 +9,7 @@
   long connectTimeoutUs = 250_000;
   long drainGraceUs = 1_000_000;
   int maxTries = 4;
+  String markedScope = "all";
   String reportFields = "\"pending\",\"busy_reqs\"";
   long onceAimUs = 500_000;
   String extraRules = "";
@@ -24,7 +25,7 @@
         {"name":"look","aim_us":500000,"aim_stretch":2.0,"hard_limit_us":4000000,"importance":1.0,
          "late_value":0.5,"repeat":"read_like","key_scope":"all","window_us":5000000},
         {"name":"marked","aim_us":500000,"aim_stretch":2.0,"hard_limit_us":4000000,"importance":1.0,
-         "late_value":0.5,"repeat":"idempotency_key","key_scope":"all","window_us":2000000},
+         "late_value":0.5,"repeat":"idempotency_key","key_scope":"%s","window_us":5000000},
         {"name":"once","aim_us":%d,"aim_stretch":2.0,"hard_limit_us":4000000,"importance":1.0,
          "late_value":0.5,"repeat":"non_idempotent","key_scope":"all","window_us":5000000}],
         "machine_types":["m"],"zones":["z"],"zone":"z",
@@ -45,6 +46,7 @@
             known,
             balancers,
             position,
+            markedScope,
             onceAimUs,
             cores,
             connectTimeoutUs,
--- a/review/stand-2/Engine.java
+++ b/review/stand-2/Engine.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executors;
@@ -31,7 +32,9 @@
 
   private static final int MAX_PAGE_BYTES = 6000;
 
-  final String name;
+  /** Its name in the record; a new engine at the same address has another one. */
+  volatile String name;
+
   final ServerSocket server = new ServerSocket();
   final ConcurrentLinkedQueue<Arrival> arrivals;
   volatile Rule rule = arrival -> new Reply("200", 20, "a\t" + arrival.call() + "\tx\n");
@@ -39,6 +42,7 @@
   /** Whether connections are accepted now; if not they wait in the backlog. */
   volatile boolean accepts = true;
 
+  private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
   private final Map<String, List<String>> results = new ConcurrentHashMap<>();
   private final Map<String, Integer> attempts = new ConcurrentHashMap<>();
   private final ScheduledExecutorService scheduler =
@@ -62,6 +66,18 @@
     return (InetSocketAddress) server.getLocalSocketAddress();
   }
 
+  /** Resets all connections, as the end of the engine's process does. */
+  void resetConnections() {
+    for (Socket socket : Set.copyOf(sockets)) {
+      try {
+        socket.setSoLinger(true, 0);
+        socket.close();
+      } catch (IOException e) {
+        Stand.note(name + " can't reset a connection: " + e.getMessage());
+      }
+    }
+  }
+
   private void accept() {
     while (true) {
       try {
@@ -71,6 +87,7 @@
         }
         server.setSoTimeout(20);
         Socket socket = server.accept();
+        sockets.add(socket);
         Stand.daemon(() -> serve(socket));
       } catch (java.net.SocketTimeoutException e) {
         continue;
@@ -118,6 +135,8 @@
               Stand.note(name + " gives up " + id + ", its connection is closed");
             }
           });
+    } finally {
+      sockets.remove(socket);
     }
   }
 
