--- a/review/stand-2/Bus.java
+++ b/review/stand-2/Bus.java
@@ -17,6 +17,11 @@
   /** How long a connection waits for its first line from now on, in milliseconds. */
   volatile long firstLineDelayMs;
 
+  /** How late events are told, in milliseconds; the number of the last one is told in time. */
+  volatile long eventDelayMs;
+
+  private final List<Long> publishedAtMs = new ArrayList<>();
+
   Bus(String host) throws IOException {
     server.bind(Stand.freeAddress(host), 64);
     Stand.daemon(this::accept);
@@ -47,6 +52,7 @@
             "{\"offset\":%d,\"topology\":{\"rev\":%d,\"all\":%b,\"targets\":[%s]}}",
             number, number, whole, String.join(",", targets));
     events.add(event);
+    publishedAtMs.add(Stand.ms());
     Stand.note("bus has event " + event);
     notifyAll();
     return event;
@@ -58,6 +64,11 @@
         "{\"offset\":%d,\"batch\":[%s]}", events.size(), String.join(",", events));
   }
 
+  /** Whether an event, counted from 0, may be told now. */
+  private boolean isDue(int event) {
+    return event == 0 || Stand.ms() >= publishedAtMs.get(event) + eventDelayMs;
+  }
+
   private void accept() {
     while (true) {
       try {
@@ -85,13 +96,17 @@
       long delay = firstLineDelayMs;
       Stand.sleep(delay);
       OutputStream out = socket.getOutputStream();
+      long nextNumberAt = Stand.ms();
       while (true) {
         StringBuilder text = new StringBuilder();
         synchronized (this) {
-          for (; next < events.size(); next++) {
-            text.append(events.get(next)).append('\n');
+          while (next < events.size() && isDue(next)) {
+            text.append(events.get(next++)).append('\n');
+          }
+          if (Stand.ms() >= nextNumberAt || text.length() > 0 && next == events.size()) {
+            text.append(events.size()).append('\n');
+            nextNumberAt = Stand.ms() + 1000;
           }
-          text.append(next).append('\n');
         }
         out.write(text.toString().getBytes(StandardCharsets.US_ASCII));
         out.flush();
@@ -100,9 +115,8 @@
           delay = 0;
         }
         synchronized (this) {
-          long end = Stand.ms() + 1000;
-          while (next == events.size() && Stand.ms() < end) {
-            wait(Math.max(1, end - Stand.ms()));
+          while (!(next < events.size() && isDue(next)) && Stand.ms() < nextNumberAt) {
+            wait(Math.max(1, Math.min(50, nextNumberAt - Stand.ms())));
           }
         }
       }
