--- a/review/stand-2/Config.java
+++ b/review/stand-2/Config.java
@@ -9,6 +9,8 @@
   long connectTimeoutUs = 250_000;
   long drainGraceUs = 1_000_000;
   int maxTries = 4;
+  int sockets = 1024;
+  long deadlineUs = 4_000_000;
   String markedScope = "all";
   String reportFields = "\"pending\",\"busy_reqs\"";
   long onceAimUs = 500_000;
@@ -19,14 +21,14 @@
   String text(InetSocketAddress listen, InetSocketAddress bus, String known) {
     return """
         {"name":"%s","listen":"%s","seed":"8c1f30d27a5be964",
-        "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"bus":"%s","known":%s,
+        "limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"bus":"%s","known":%s,
         "settings":{"balancers":%d,"position":%d,"tick_us":5000,
         "classes":[
-        {"name":"look","aim_us":500000,"aim_stretch":2.0,"hard_limit_us":4000000,"importance":1.0,
+        {"name":"look","aim_us":500000,"aim_stretch":2.0,"hard_limit_us":%d,"importance":1.0,
          "late_value":0.5,"repeat":"read_like","key_scope":"all","window_us":5000000},
-        {"name":"marked","aim_us":500000,"aim_stretch":2.0,"hard_limit_us":4000000,"importance":1.0,
+        {"name":"marked","aim_us":500000,"aim_stretch":2.0,"hard_limit_us":%d,"importance":1.0,
          "late_value":0.5,"repeat":"idempotency_key","key_scope":"%s","window_us":5000000},
-        {"name":"once","aim_us":%d,"aim_stretch":2.0,"hard_limit_us":4000000,"importance":1.0,
+        {"name":"once","aim_us":%d,"aim_stretch":2.0,"hard_limit_us":%d,"importance":1.0,
          "late_value":0.5,"repeat":"non_idempotent","key_scope":"all","window_us":5000000}],
         "machine_types":["m"],"zones":["z"],"zone":"z",
         "family_info":{"cores_by_kind":[%d],"ram_of_kind_mb":[4096.0],"width_by_class":[1,1,1],
@@ -42,12 +44,16 @@
         .formatted(
             name,
             Stand.text(listen),
+            sockets,
             Stand.text(bus),
             known,
             balancers,
             position,
+            deadlineUs,
+            deadlineUs,
             markedScope,
             onceAimUs,
+            deadlineUs,
             cores,
             connectTimeoutUs,
             maxTries,
