--- a/review/6/src/EndlessNotes.java
+++ b/review/6/src/EndlessNotes.java
@@ -52,6 +52,7 @@
     bus.publish(true, targets.toArray(new String[0]));
     Config config = new Config();
     config.onceAimUs = 3_000_000;
+    config.tellsEveryUs = 2_000_000;
     config.reportFields = "\"pending\",\"busy_reqs\",\"cpu_share\",\"svc_ms\"";
     InetSocketAddress listen = Stand.freeAddress("127.0.0.1");
     Stand.Dispatcher dispatcher =
--- a/review/stand-2/Config.java
+++ b/review/stand-2/Config.java
@@ -9,6 +9,7 @@
   long connectTimeoutUs = 250_000;
   long drainGraceUs = 1_000_000;
   int maxTries = 4;
+  long tellsEveryUs;
   int sockets = 1024;
   long deadlineUs = 4_000_000;
   String markedScope = "all";
@@ -32,7 +33,7 @@
          "late_value":0.5,"repeat":"non_idempotent","key_scope":"all","window_us":5000000}],
         "machine_types":["m"],"zones":["z"],"zone":"z",
         "family_info":{"cores_by_kind":[%d],"ram_of_kind_mb":[4096.0],"width_by_class":[1,1,1],
-         "out_of_memory":"shrink","ranks_heeded":false,"tells_every_us":0},
+         "out_of_memory":"shrink","ranks_heeded":false,"tells_every_us":%d},
         "limits":{"cancel":true,"conn_idle_us":30000000,"connect_timeout_us":%d,
          "max_retry_after_us":500000,"most_tries":%d,"retry_after":true,
          "streams_per_conn":32%s},
@@ -55,6 +56,7 @@
             onceAimUs,
             deadlineUs,
             cores,
+            tellsEveryUs,
             connectTimeoutUs,
             maxTries,
             extraLimits,
