--- a/review/stand-2/Stand.java
+++ b/review/stand-2/Stand.java
@@ -176,6 +176,11 @@
       config.toFile().deleteOnExit();
     }
 
+    /** Replaces the own settings file. */
+    void writeSettings(String settings) throws IOException {
+      Files.writeString(folder.resolve("cobaltseam.toml"), settings);
+    }
+
     void start() throws IOException {
       ProcessBuilder builder =
           new ProcessBuilder("/bin/sh", "-c", deployCommand("run") + options)
