--- a/review/6/src/EndlessNotes.java
+++ b/review/6/src/EndlessNotes.java
@@ -16,7 +16,7 @@
 /** One engine of eight answers each request with notes that never end. */
 final class EndlessNotes {
   private static final int SOUND_ENGINES = 7;
-  private static final int CLIENTS = 60;
+  private static final int CLIENTS = 120;
   private static final int TTL_MS = 4000;
   private static final int RUN_MS = 300;
 
