--- a/review/stand-2/Stand.java
+++ b/review/stand-2/Stand.java
@@ -54,7 +54,7 @@
     try {
       note("trouble=" + (TROUBLE ? 1 : 0));
       code = play.play();
-    } catch (Exception e) {
+    } catch (Exception | Error e) {
       note("the case could not run: " + e);
       for (StackTraceElement element : e.getStackTrace()) {
         note("  at " + element);
