Log and count how far the event loop is behind, and what waits for it

Change: the event loop measures how long each task waited (event_loop_peak_delay_ms) and logs waits of over 250 ms with the number of tasks, the bytes from engines that wait, and the heap; counters engine_input_peak_bytes and read_round_peak_ms. No behaviour changes.

--- a/src/main/java/cobaltseam/service/Counters.java
+++ b/src/main/java/cobaltseam/service/Counters.java
@@ -142,7 +142,13 @@
     /** Connects to engines that failed for a reason on this machine, and were repeated. */
     ENGINE_CONNECTS_REPEATED,
     /** Attempts that were not sent since no connection could be opened on this machine. */
-    SENDS_LOCAL_FAILURE;
+    SENDS_LOCAL_FAILURE,
+    /** The most bytes received from engines that waited for the event loop at once. */
+    ENGINE_INPUT_PEAK_BYTES,
+    /** The longest time that a task waited for the event loop, in milliseconds. */
+    EVENT_LOOP_PEAK_DELAY_MS,
+    /** The longest time that the I/O thread took for one round of reading, in milliseconds. */
+    READ_ROUND_PEAK_MS;
 
     /** The name as printed. */
     String label() {
@@ -162,6 +168,11 @@
     counts.getAndAdd(count.ordinal(), amount);
   }
 
+  /** Raises a counter to a value, unless it is higher already. */
+  void raiseTo(Count count, long value) {
+    counts.accumulateAndGet(count.ordinal(), value, Math::max);
+  }
+
   /** The value of a counter. */
   long get(Count count) {
     return counts.get(count.ordinal());
--- a/src/main/java/cobaltseam/service/DispatcherService.java
+++ b/src/main/java/cobaltseam/service/DispatcherService.java
@@ -76,12 +76,14 @@
   private final Timers timers = new Timers();
   private final Counters counters = new Counters();
   final EventLoopQueue inbox = new EventLoopQueue(counters);
+  private final UnprocessedInput engineInput = new UnprocessedInput(counters);
+  private final BacklogMonitor backlog = new BacklogMonitor(inbox, engineInput, clock, counters);
   private final CountDownLatch loopEnded = new CountDownLatch(1);
   private final ExecutorService executor =
       Executors.newCachedThreadPool(DispatcherService::newIoThread);
 
   /** The only I/O thread, for clients and engines, since the process has one core. */
-  final SocketProcessor processor = new SocketProcessor(executor, clock);
+  final SocketProcessor processor = new SocketProcessor(executor, clock, counters);
 
   final BoundedAcceptor acceptor;
   private final NioSocketConnector engineConnector = new NioSocketConnector(executor, processor);
@@ -106,7 +108,15 @@
     AttemptLog attemptLog = new AttemptLog(clock);
     engines =
         new EngineConnections(
-            configuration, engineConnector, processor, inbox, clock, timers, counters, attemptLog);
+            configuration,
+            engineConnector,
+            processor,
+            inbox,
+            engineInput,
+            clock,
+            timers,
+            counters,
+            attemptLog);
     requests =
         new RequestTable(
             configuration.deployment(),
@@ -137,7 +147,7 @@
             requests::updateEndpoints);
     reloader =
         new ConfigurationReloader(configuration, engines, requests, endpointWatch, inbox, counters);
-    eventLoop = new EventLoop(inbox, processor, clock, timers, counters, new LoopSteps());
+    eventLoop = new EventLoop(inbox, processor, clock, timers, backlog, counters, new LoopSteps());
     acceptor =
         new BoundedAcceptor(
             executor,
@@ -145,6 +155,10 @@
             ClientConnections.maxAcceptedConnections(configuration.maxSockets()),
             clock,
             counters);
+    configureSockets();
+  }
+
+  private void configureSockets() {
     configure(engineConnector.getSessionConfig());
     configure(watchConnector.getSessionConfig());
     configure(acceptor.getSessionConfig());
--- a/src/main/java/cobaltseam/service/EngineConnections.java
+++ b/src/main/java/cobaltseam/service/EngineConnections.java
@@ -49,6 +49,7 @@
       SocketConnector connector,
       SocketProcessor sockets,
       EventLoopQueue inbox,
+      UnprocessedInput unprocessedInput,
       Clock clock,
       Timers timers,
       Counters counters,
@@ -61,7 +62,7 @@
         new EngineConnectionPool(
             configuration, connector, inbox, clock, timers, counters, log, this);
     answers = new EngineAnswers(pool, this, clock, counters, log);
-    connector.setHandler(new EngineInput(this, sockets, inbox));
+    connector.setHandler(new EngineInput(this, sockets, inbox, unprocessedInput));
   }
 
   /** Sets the listener; to be called once, before the first attempt. */
--- a/src/main/java/cobaltseam/service/EngineInput.java
+++ b/src/main/java/cobaltseam/service/EngineInput.java
@@ -45,11 +45,14 @@
   private final Listener listener;
   private final SocketProcessor sockets;
   private final EventLoopQueue inbox;
+  private final UnprocessedInput total;
 
-  EngineInput(Listener listener, SocketProcessor sockets, EventLoopQueue inbox) {
+  EngineInput(
+      Listener listener, SocketProcessor sockets, EventLoopQueue inbox, UnprocessedInput total) {
     this.listener = listener;
     this.sockets = sockets;
     this.inbox = inbox;
+    this.total = total;
   }
 
   /** Associates a session with its connection, before the session receives anything. */
@@ -75,6 +78,7 @@
         (AtomicInteger) session.getAttribute(UNPROCESSED_BYTES_ATTRIBUTE);
     IoBuffer input = (IoBuffer) message;
     int bytes = input.remaining();
+    total.add(bytes);
     boolean exceedsLimit = unprocessedBytes.addAndGet(bytes) > MAX_UNPROCESSED_BYTES;
     String protocolError =
         exceedsLimit
@@ -91,6 +95,7 @@
                 session,
                 () -> {
                   unprocessedBytes.addAndGet(-bytes);
+                  total.release(bytes);
                   listener.received(connection(session), answers, protocolError);
                 }));
   }
--- a/src/main/java/cobaltseam/service/EventLoop.java
+++ b/src/main/java/cobaltseam/service/EventLoop.java
@@ -3,6 +3,7 @@
 import cobaltseam.dispatch.TimeSpan;
 import cobaltseam.dispatch.Timestamp;
 import cobaltseam.service.Counters.Count;
+import cobaltseam.service.EventLoopQueue.PostedTask;
 import java.lang.System.Logger.Level;
 import java.util.concurrent.atomic.AtomicBoolean;
 
@@ -45,6 +46,7 @@
   private final SocketProcessor sockets;
   private final Clock clock;
   private final Timers timers;
+  private final BacklogMonitor backlog;
   private final Counters counters;
   private final Steps steps;
 
@@ -53,12 +55,14 @@
       SocketProcessor sockets,
       Clock clock,
       Timers timers,
+      BacklogMonitor backlog,
       Counters counters,
       Steps steps) {
     this.inbox = inbox;
     this.sockets = sockets;
     this.clock = clock;
     this.timers = timers;
+    this.backlog = backlog;
     this.counters = counters;
     this.steps = steps;
   }
@@ -80,10 +84,11 @@
    * for the first of them.
    */
   private void runTasks(TimeSpan maxWait) throws InterruptedException {
-    Runnable task = inbox.poll(maxWait);
+    PostedTask task = inbox.poll(maxWait);
     for (int count = 1;
         task != null;
         task = count++ < MAX_TASKS_PER_TURN ? inbox.poll(TimeSpan.ZERO) : null) {
+      backlog.recordWait(task.waitTime());
       steps.checkAuthority();
       task.run();
     }
--- a/src/main/java/cobaltseam/service/EventLoopQueue.java
+++ b/src/main/java/cobaltseam/service/EventLoopQueue.java
@@ -16,7 +16,25 @@
 final class EventLoopQueue {
   private static final System.Logger LOG = System.getLogger(EventLoopQueue.class.getName());
 
-  private final BlockingQueue<Runnable> tasks = new LinkedBlockingQueue<>();
+  /**
+   * A posted task.
+   *
+   * @param postedAtNanos when it was posted, as {@link System#nanoTime}
+   */
+  record PostedTask(Runnable action, long postedAtNanos) {
+    void run() {
+      action.run();
+    }
+
+    /** Returns how long the task has waited. */
+    TimeSpan waitTime() {
+      return new TimeSpan((System.nanoTime() - postedAtNanos) / NANOS_PER_MICRO);
+    }
+  }
+
+  private static final int NANOS_PER_MICRO = 1000;
+
+  private final BlockingQueue<PostedTask> tasks = new LinkedBlockingQueue<>();
   private final Counters counters;
 
   EventLoopQueue(Counters counters) {
@@ -30,22 +48,23 @@
    * @param connection the connection whose input the task processes, or null
    */
   void post(IoSession connection, Runnable task) {
-    tasks.add(
-        () -> {
-          try {
-            task.run();
-          } catch (RuntimeException e) {
-            counters.add(Count.FAULTS);
-            LOG.log(
-                Level.ERROR,
-                "an event-loop task failed; its connection, if any, is closed, and requests on it"
-                    + " end as after a disconnect",
-                e);
-            if (connection != null) {
-              connection.closeNow();
-            }
-          }
-        });
+    tasks.add(new PostedTask(() -> runGuarded(connection, task), System.nanoTime()));
+  }
+
+  private void runGuarded(IoSession connection, Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException e) {
+      counters.add(Count.FAULTS);
+      LOG.log(
+          Level.ERROR,
+          "an event-loop task failed; its connection, if any, is closed, and requests on it"
+              + " end as after a disconnect",
+          e);
+      if (connection != null) {
+        connection.closeNow();
+      }
+    }
   }
 
   /** Returns the number of posted tasks that were not taken yet. */
@@ -54,8 +73,8 @@
   }
 
   /** Takes the next task, or returns null if none is posted within {@code maxWait}. */
-  Runnable poll(TimeSpan maxWait) throws InterruptedException {
-    Runnable task = tasks.poll();
+  PostedTask poll(TimeSpan maxWait) throws InterruptedException {
+    PostedTask task = tasks.poll();
     return task != null || !maxWait.isPositive()
         ? task
         : tasks.poll(maxWait.us(), TimeUnit.MICROSECONDS);
--- a/src/main/java/cobaltseam/service/FleetService.java
+++ b/src/main/java/cobaltseam/service/FleetService.java
@@ -11,6 +11,7 @@
 import cobaltseam.membership.QuorumState;
 import cobaltseam.membership.ViewId;
 import cobaltseam.service.Counters.Count;
+import cobaltseam.service.EventLoopQueue.PostedTask;
 import cobaltseam.settings.Settings;
 import cobaltseam.sharing.MemberFigures;
 import java.io.IOException;
@@ -178,7 +179,7 @@
   }
 
   private void runTasks() throws InterruptedException {
-    Runnable task = taskQueue.poll(timers.untilNext(clock.now(), MAX_TASK_WAIT));
+    PostedTask task = taskQueue.poll(timers.untilNext(clock.now(), MAX_TASK_WAIT));
     int taskCount = 1;
     while (task != null) {
       detectSuspension();
--- a/src/main/java/cobaltseam/service/SocketProcessor.java
+++ b/src/main/java/cobaltseam/service/SocketProcessor.java
@@ -2,6 +2,7 @@
 
 import cobaltseam.dispatch.TimeSpan;
 import cobaltseam.dispatch.Timestamp;
+import cobaltseam.service.Counters.Count;
 import java.io.IOException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
@@ -30,6 +31,8 @@
    */
   private static final int MAX_WAIT_MS = 110;
 
+  private static final int US_PER_MS = 1000;
+
   /**
    * A time between two reads of all input that is longer than this shows that the process was
    * suspended or starved; in microseconds.
@@ -37,6 +40,7 @@
   private static final TimeSpan MAX_READ_INTERVAL_US = new TimeSpan(130_000);
 
   private final Clock clock;
+  private final Counters counters;
 
   /** When all available input was last looked for; used on the I/O thread. */
   private Timestamp lastSelectedAt;
@@ -53,9 +57,10 @@
   /** Tasks that run after all input of the current select is read. */
   private List<Runnable> roundEndTasks = new ArrayList<>();
 
-  SocketProcessor(Executor threads, Clock clock) {
+  SocketProcessor(Executor threads, Clock clock, Counters counters) {
     super(threads);
     this.clock = clock;
+    this.counters = counters;
     lastSelectedAt = clock.now();
     earliestArrival = lastSelectedAt;
   }
@@ -146,6 +151,7 @@
     }
     dueTasks.forEach(Runnable::run);
     Timestamp startedAt = clock.now();
+    counters.raiseTo(Count.READ_ROUND_PEAK_MS, startedAt.since(lastSelectedAt).us() / US_PER_MS);
     int selected = selectUpTo(timeout);
     Timestamp now = clock.now();
     earliestArrival = lastSelectedAt;
