Read no more from engines than the event loop processes, within a share of the memory

Cause: EngineInput parsed answers on the I/O thread and posted them to the unbounded queue of the event loop. Its bound was 2 MB of received bytes a connection, with none for all connections; parsed, those bytes take six times as much.

Change: bytes go to the event loop as received and are parsed there, one read at a time. ReadFlowControl suspends reading from a connection at 32 KB of its unprocessed input, or at a 64th of the memory for all together, and resumes when the event loop has processed it; a connection without unprocessed input is always read, so that none starves. The peer waits by TCP; no connection is closed for it any more (the former bound closed it). A resumption runs before later "after reading" tasks, so that a stalled process still hears what had come.

--- a/src/main/java/cobaltseam/service/BacklogMonitor.java
+++ b/src/main/java/cobaltseam/service/BacklogMonitor.java
@@ -18,14 +18,14 @@
   private static final int BYTES_PER_MB = 1 << 20;
 
   private final EventLoopQueue inbox;
-  private final UnprocessedInput engineInput;
+  private final ReadFlowControl flowControl;
   private final Counters counters;
   private final RateLimitedLog log;
 
   BacklogMonitor(
-      EventLoopQueue inbox, UnprocessedInput engineInput, Clock clock, Counters counters) {
+      EventLoopQueue inbox, ReadFlowControl flowControl, Clock clock, Counters counters) {
     this.inbox = inbox;
-    this.engineInput = engineInput;
+    this.flowControl = flowControl;
     this.counters = counters;
     log = new RateLimitedLog(System.getLogger(EventLoop.class.getName()), clock);
   }
@@ -46,7 +46,7 @@
             + " holds {3} of {4} MB",
         Field.of("delayMs", waitMs),
         Field.of("tasks", inbox.size()),
-        Field.of("engineBytes", engineInput.bytes()),
+        Field.of("engineBytes", flowControl.unprocessedBytes()),
         Field.of("heapMb", (runtime.totalMemory() - runtime.freeMemory()) / BYTES_PER_MB),
         Field.of("maxHeapMb", runtime.maxMemory() / BYTES_PER_MB),
         Field.event("event_loop.behind"));
--- a/src/main/java/cobaltseam/service/Counters.java
+++ b/src/main/java/cobaltseam/service/Counters.java
@@ -144,11 +144,15 @@
     /** Attempts that were not sent since no connection could be opened on this machine. */
     SENDS_LOCAL_FAILURE,
     /** The most bytes received from engines that waited for the event loop at once. */
-    ENGINE_INPUT_PEAK_BYTES,
+    UNPROCESSED_INPUT_PEAK_BYTES,
     /** The longest time that a task waited for the event loop, in milliseconds. */
     EVENT_LOOP_PEAK_DELAY_MS,
     /** The longest time that the I/O thread took for one round of reading, in milliseconds. */
-    READ_ROUND_PEAK_MS;
+    READ_ROUND_PEAK_MS,
+    /**
+     * How often no more was read from a connection until the event loop had processed its input.
+     */
+    READS_SUSPENDED;
 
     /** The name as printed. */
     String label() {
--- a/src/main/java/cobaltseam/service/DispatcherService.java
+++ b/src/main/java/cobaltseam/service/DispatcherService.java
@@ -76,8 +76,6 @@
   private final Timers timers = new Timers();
   private final Counters counters = new Counters();
   final EventLoopQueue inbox = new EventLoopQueue(counters);
-  private final UnprocessedInput engineInput = new UnprocessedInput(counters);
-  private final BacklogMonitor backlog = new BacklogMonitor(inbox, engineInput, clock, counters);
   private final CountDownLatch loopEnded = new CountDownLatch(1);
   private final ExecutorService executor =
       Executors.newCachedThreadPool(DispatcherService::newIoThread);
@@ -106,13 +104,15 @@
 
   DispatcherService(ServiceConfiguration configuration) {
     AttemptLog attemptLog = new AttemptLog(clock);
+    ReadFlowControl flowControl =
+        new ReadFlowControl(processor, configuration.memoryBytes(), counters);
     engines =
         new EngineConnections(
             configuration,
             engineConnector,
             processor,
             inbox,
-            engineInput,
+            flowControl,
             clock,
             timers,
             counters,
@@ -147,7 +147,8 @@
             requests::updateEndpoints);
     reloader =
         new ConfigurationReloader(configuration, engines, requests, endpointWatch, inbox, counters);
-    eventLoop = new EventLoop(inbox, processor, clock, timers, backlog, counters, new LoopSteps());
+    eventLoop =
+        new EventLoop(inbox, processor, flowControl, clock, timers, counters, new LoopSteps());
     acceptor =
         new BoundedAcceptor(
             executor,
--- a/src/main/java/cobaltseam/service/EngineAnswers.java
+++ b/src/main/java/cobaltseam/service/EngineAnswers.java
@@ -7,6 +7,7 @@
 import cobaltseam.resp.EngineResponse;
 import cobaltseam.resp.Result;
 import cobaltseam.service.Counters.Count;
+import java.nio.ByteBuffer;
 import java.util.List;
 
 /**
@@ -52,30 +53,33 @@
   }
 
   /**
-   * Processes the answers that were received on a connection in one read. Stops early if one of
-   * them causes the connection to be closed.
-   *
-   * @param answers an element is null for an array that is not an engine answer
-   * @param protocolError the error in the input that follows these answers, or null
+   * Processes the input that was received on a connection in one read. Ignores the rest of it once
+   * an answer has caused the connection to be closed.
    */
-  void process(EngineConnection connection, List<EngineResponse> answers, String protocolError) {
+  void process(EngineConnection connection, ByteBuffer input) {
     connection.receivedAt = clock.now();
     pool.setFailed(connection, false);
-    for (EngineResponse answer : answers) {
-      if (!pool.isOpen(connection)) {
-        return;
-      }
-      if (answer == null) {
-        protocolError(connection, "an array that is not an engine answer");
-      } else if (!answer.code().equals(EngineResponse.ALIVE)) {
-        process(connection, answer);
-      }
+    if (!pool.isOpen(connection)) {
+      return;
     }
+    String protocolError = connection.parser.parse(input, items -> process(connection, items));
     if (protocolError != null && pool.isOpen(connection)) {
       protocolError(connection, protocolError);
     }
   }
 
+  private void process(EngineConnection connection, List<byte[]> items) {
+    if (!pool.isOpen(connection)) {
+      return;
+    }
+    EngineResponse answer = EngineResponse.parse(items);
+    if (answer == null) {
+      protocolError(connection, "an array that is not an engine answer");
+    } else if (!answer.code().equals(EngineResponse.ALIVE)) {
+      process(connection, answer);
+    }
+  }
+
   private void process(EngineConnection connection, EngineResponse answer) {
     Attempt attempt = connection.attempts.get(answer.id());
     if (attempt == null) {
--- a/src/main/java/cobaltseam/service/EngineConnection.java
+++ b/src/main/java/cobaltseam/service/EngineConnection.java
@@ -3,6 +3,7 @@
 import cobaltseam.dispatch.EngineId;
 import cobaltseam.dispatch.TimeSpan;
 import cobaltseam.dispatch.Timestamp;
+import cobaltseam.resp.RespParser;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -31,6 +32,9 @@
   final EngineId engine;
   final Timestamp openedAt;
 
+  /** Parses the input of this connection. */
+  final RespParser parser = new RespParser();
+
   /** The attempts on this connection by call id. */
   final Map<String, Attempt> attempts = new HashMap<>();
 
--- a/src/main/java/cobaltseam/service/EngineConnections.java
+++ b/src/main/java/cobaltseam/service/EngineConnections.java
@@ -5,8 +5,8 @@
 import cobaltseam.dispatch.Placement;
 import cobaltseam.dispatch.Timestamp;
 import cobaltseam.resp.EngineCommands;
-import cobaltseam.resp.EngineResponse;
 import cobaltseam.service.Counters.Count;
+import java.nio.ByteBuffer;
 import java.util.List;
 import org.apache.mina.transport.socket.SocketConnector;
 
@@ -49,7 +49,7 @@
       SocketConnector connector,
       SocketProcessor sockets,
       EventLoopQueue inbox,
-      UnprocessedInput unprocessedInput,
+      ReadFlowControl flowControl,
       Clock clock,
       Timers timers,
       Counters counters,
@@ -62,7 +62,7 @@
         new EngineConnectionPool(
             configuration, connector, inbox, clock, timers, counters, log, this);
     answers = new EngineAnswers(pool, this, clock, counters, log);
-    connector.setHandler(new EngineInput(this, sockets, inbox, unprocessedInput));
+    connector.setHandler(new EngineInput(this, sockets, inbox, flowControl));
   }
 
   /** Sets the listener; to be called once, before the first attempt. */
@@ -291,9 +291,8 @@
   // ---- answers
 
   @Override
-  public void received(
-      EngineConnection connection, List<EngineResponse> responses, String protocolError) {
-    answers.process(connection, responses, protocolError);
+  public void received(EngineConnection connection, ByteBuffer input) {
+    answers.process(connection, input);
   }
 
   @Override
--- a/src/main/java/cobaltseam/service/EngineInput.java
+++ b/src/main/java/cobaltseam/service/EngineInput.java
@@ -1,28 +1,19 @@
 package cobaltseam.service;
 
-import cobaltseam.resp.EngineResponse;
-import cobaltseam.resp.RespParser;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.nio.ByteBuffer;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.session.IoSession;
 
 /**
- * Parses the bytes received from engines into answers on the I/O thread and posts them to the event
- * loop.
+ * Receives the bytes of engines on the I/O thread and posts them to the event loop unparsed, since
+ * parsed answers take several times as much memory. {@link ReadFlowControl} limits how many wait.
  */
 final class EngineInput extends IoHandlerAdapter {
   /** Is notified on the event-loop thread. */
   interface Listener {
-    /**
-     * Called when answers were received.
-     *
-     * @param answers an element is null for an array that is not an engine answer
-     * @param protocolError the error in the input that follows these answers, or null
-     */
-    void received(EngineConnection connection, List<EngineResponse> answers, String protocolError);
+    /** Called when bytes were received. */
+    void received(EngineConnection connection, ByteBuffer input);
 
     /**
      * Called when a connection was closed.
@@ -32,27 +23,22 @@
     void closed(EngineConnection connection, long writtenMessages);
   }
 
-  private static final String PARSER_ATTRIBUTE = "parser";
   private static final String CONNECTION_ATTRIBUTE = "connection";
-  private static final String UNPROCESSED_BYTES_ATTRIBUTE = "unheard";
-
-  /**
-   * The number of bytes of one connection that may wait for the event loop, enough for the results
-   * of many attempts. A connection that exceeds it is closed.
-   */
-  private static final int MAX_UNPROCESSED_BYTES = 1 << 21;
 
   private final Listener listener;
   private final SocketProcessor sockets;
   private final EventLoopQueue inbox;
-  private final UnprocessedInput total;
+  private final ReadFlowControl flowControl;
 
   EngineInput(
-      Listener listener, SocketProcessor sockets, EventLoopQueue inbox, UnprocessedInput total) {
+      Listener listener,
+      SocketProcessor sockets,
+      EventLoopQueue inbox,
+      ReadFlowControl flowControl) {
     this.listener = listener;
     this.sockets = sockets;
     this.inbox = inbox;
-    this.total = total;
+    this.flowControl = flowControl;
   }
 
   /** Associates a session with its connection, before the session receives anything. */
@@ -66,38 +52,23 @@
 
   @Override
   public void sessionCreated(IoSession session) {
-    session.setAttribute(PARSER_ATTRIBUTE, new RespParser());
-    session.setAttribute(UNPROCESSED_BYTES_ATTRIBUTE, new AtomicInteger());
+    flowControl.opened(session);
   }
 
   @Override
   public void messageReceived(IoSession session, Object message) {
-    List<EngineResponse> answers = new ArrayList<>();
-    RespParser parser = (RespParser) session.getAttribute(PARSER_ATTRIBUTE);
-    AtomicInteger unprocessedBytes =
-        (AtomicInteger) session.getAttribute(UNPROCESSED_BYTES_ATTRIBUTE);
-    IoBuffer input = (IoBuffer) message;
-    int bytes = input.remaining();
-    total.add(bytes);
-    boolean exceedsLimit = unprocessedBytes.addAndGet(bytes) > MAX_UNPROCESSED_BYTES;
-    String protocolError =
-        exceedsLimit
-            ? "too many unprocessed bytes"
-            : parser.parse(input.buf(), items -> answers.add(EngineResponse.parse(items)));
-    if (protocolError != null) {
-      session.closeNow();
-    }
+    // A copy, since the buffer that MINA has read into may be much larger than its content.
+    byte[] bytes = new byte[((IoBuffer) message).remaining()];
+    ((IoBuffer) message).get(bytes);
+    flowControl.received(session, bytes.length);
     // Posted only at the end of this read round: the answer may lead to a retry, and the end of the
     // client's connection may still be unread in the same round.
-    sockets.runAtRoundEnd(
-        () ->
-            inbox.post(
-                session,
-                () -> {
-                  unprocessedBytes.addAndGet(-bytes);
-                  total.release(bytes);
-                  listener.received(connection(session), answers, protocolError);
-                }));
+    sockets.runAtRoundEnd(() -> inbox.post(session, () -> process(session, bytes)));
+  }
+
+  private void process(IoSession session, byte[] bytes) {
+    flowControl.processed(session, bytes.length);
+    listener.received(connection(session), ByteBuffer.wrap(bytes));
   }
 
   @Override
--- a/src/main/java/cobaltseam/service/EventLoop.java
+++ b/src/main/java/cobaltseam/service/EventLoop.java
@@ -53,16 +53,16 @@
   EventLoop(
       EventLoopQueue inbox,
       SocketProcessor sockets,
+      ReadFlowControl flowControl,
       Clock clock,
       Timers timers,
-      BacklogMonitor backlog,
       Counters counters,
       Steps steps) {
     this.inbox = inbox;
     this.sockets = sockets;
     this.clock = clock;
     this.timers = timers;
-    this.backlog = backlog;
+    backlog = new BacklogMonitor(inbox, flowControl, clock, counters);
     this.counters = counters;
     this.steps = steps;
   }
--- a/src/main/java/cobaltseam/service/SocketProcessor.java
+++ b/src/main/java/cobaltseam/service/SocketProcessor.java
@@ -51,6 +51,9 @@
   /** Tasks that any thread has passed to {@link #runAfterReading}. */
   private final Queue<Runnable> requestedTasks = new ConcurrentLinkedQueue<>();
 
+  /** Tasks that any thread has passed to {@link #runBeforeSelect}. */
+  private final Queue<Runnable> immediateTasks = new ConcurrentLinkedQueue<>();
+
   /** Tasks requested before the last select; they run after its input is read. */
   private List<Runnable> tasksAfterSelect = List.of();
 
@@ -87,6 +90,15 @@
     wakeup();
   }
 
+  /**
+   * Runs a task on the I/O thread as soon as possible, and before any task that is passed to {@link
+   * #runAfterReading} later; thread-safe.
+   */
+  void runBeforeSelect(Runnable task) {
+    immediateTasks.add(task);
+    wakeup();
+  }
+
   /**
    * Runs a task at the end of the current read round, when it is known whether a connection ended
    * directly after the input that was read from it. To be called on the I/O thread.
@@ -150,6 +162,11 @@
       tasksAfterSelect.add(task);
     }
     dueTasks.forEach(Runnable::run);
+    // After the requested tasks were taken, so that each of these sees the effect of all immediate
+    // tasks that were added before it.
+    for (Runnable task = immediateTasks.poll(); task != null; task = immediateTasks.poll()) {
+      task.run();
+    }
     Timestamp startedAt = clock.now();
     counters.raiseTo(Count.READ_ROUND_PEAK_MS, startedAt.since(lastSelectedAt).us() / US_PER_MS);
     int selected = selectUpTo(timeout);
