Timers run although input keeps coming, so that answers are not late

The attempts behind them all end in one moment, up to 1.1 s after their deadlines, without any log line of a delay.

Cause: EventLoop ran up to 1,024 tasks before it looked at its timers, also those posted meanwhile. Each chunk of a flood takes up to a millisecond, and as the I/O thread keeps posting, the queue is never empty. With a timer overdue, runUnreadTasks did the same again before it looked whether all was read. Ruled out by the counters: tasks waited for less than 250 ms and the heap had room.

Change: a turn runs the tasks that were posted before it began, and runUnreadTasks ends at its own marker. All that came before a deadline is still heard before it acts. The queue is bounded by ReadFlowControl and by the messages a client may have there.

--- a/src/main/java/cobaltseam/service/EventLoop.java
+++ b/src/main/java/cobaltseam/service/EventLoop.java
@@ -80,24 +80,29 @@
   }
 
   /**
-   * Runs the posted tasks, at most {@link #MAX_TASKS_PER_TURN}, and waits at most {@code maxWait}
-   * for the first of them.
+   * Waits at most {@code maxWait} for a task, and runs the tasks that are posted by then, at most
+   * {@link #MAX_TASKS_PER_TURN}. Tasks that are posted meanwhile have to wait for the next turn, or
+   * peers that keep sending could delay the timers.
    */
   private void runTasks(TimeSpan maxWait) throws InterruptedException {
     PostedTask task = inbox.poll(maxWait);
-    for (int count = 1;
-        task != null;
-        task = count++ < MAX_TASKS_PER_TURN ? inbox.poll(TimeSpan.ZERO) : null) {
-      backlog.recordWait(task.waitTime());
-      steps.checkAuthority();
-      task.run();
+    int remaining = Math.min(inbox.size(), MAX_TASKS_PER_TURN - 1);
+    while (task != null) {
+      run(task);
+      task = remaining-- > 0 ? inbox.poll(TimeSpan.ZERO) : null;
     }
     steps.checkAuthority();
   }
 
+  private void run(PostedTask task) {
+    backlog.recordWait(task.waitTime());
+    steps.checkAuthority();
+    task.run();
+  }
+
   /**
    * Has the I/O thread read all input that arrived while the process was stalled, and runs the
-   * tasks that it posts. Waits at most {@link #MAX_WAIT_US}.
+   * tasks that it posts, but none that is posted after them. Waits at most {@link #MAX_WAIT_US}.
    */
   private void runUnreadTasks() throws InterruptedException {
     AtomicBoolean isAllRead = new AtomicBoolean();
@@ -106,8 +111,12 @@
     for (Timestamp now = clock.now();
         !isAllRead.get() && now.isBefore(deadline);
         now = clock.now()) {
-      runTasks(deadline.since(now));
+      PostedTask task = inbox.poll(deadline.since(now));
+      if (task != null) {
+        run(task);
+      }
     }
+    steps.checkAuthority();
   }
 
   private void runTimers() {
