Emulated engine: a short request that is due before it is entered completes

Seen: SuspensionTest.deadlineOfEngineCountsFromBeforeASuspension failed once in the tests of the service, and in 2 of some 45 runs of it alone: the answer to a request of 5 ms never came.

Cause: startRequest scheduled the completion before it entered the request under 'pending'. Where its thread was held for 5 ms in between, complete() found nothing to complete and returned. The test is right, and the dispatcher had sent and waited as it should.

Change: both steps exclude each other. No check was touched.

--- a/src/test/java/cobaltseam/standin/EmulatedEngine.java
+++ b/src/test/java/cobaltseam/standin/EmulatedEngine.java
@@ -244,12 +244,15 @@
     AttemptRecord attempt =
         new AttemptRecord(id, System.nanoTime(), new AtomicLong(Long.MAX_VALUE));
     attempts.add(attempt);
-    pending.put(
-        id,
-        new PendingRequest(
-            attempt,
-            scheduler.schedule(
-                () -> complete(pending, out, attempt), durationMs, TimeUnit.MILLISECONDS)));
+    // A short request may be due before it is entered, and would then never complete.
+    synchronized (pending) {
+      pending.put(
+          id,
+          new PendingRequest(
+              attempt,
+              scheduler.schedule(
+                  () -> complete(pending, out, attempt), durationMs, TimeUnit.MILLISECONDS)));
+    }
   }
 
   private static String field(String fields, String name) {
@@ -263,8 +266,10 @@
   private void complete(
       Map<String, PendingRequest> pending, OutputStream out, AttemptRecord attempt) {
     String id = attempt.callId();
-    if (pending.remove(id) == null) {
-      return;
+    synchronized (pending) {
+      if (pending.remove(id) == null) {
+        return;
+      }
     }
     running.decrementAndGet();
     Executions counts = executions.get(id);
