Tests: a suspended dispatcher has stopped before the request is sent

Seen: SuspensionTest failed once in some 45 runs of it alone: "2490 ms, of which the client has 1497", the deadline that the engine was told.

Cause: the test sent its request right after kill had returned, while threads of the dispatcher could still run for a moment; it read the request before it stopped, and stopped between computing the time left and the write. No code can exclude that, and the test means another order, a request that arrives while the dispatcher is suspended.

Change: DispatcherProcess.suspend waits until /proc shows every thread of the process as stopped. The assertions are as they were.

--- a/src/test/java/cobaltseam/service/SuspensionTest.java
+++ b/src/test/java/cobaltseam/service/SuspensionTest.java
@@ -33,10 +33,10 @@
   private static void assertFullDeadlineAfterQuietSuspension(
       DispatcherProcess dispatcher, StatementClient client, EmulatedEngine engine)
       throws Exception {
-    dispatcher.signal("STOP");
+    dispatcher.suspend();
     // The duration itself is tested.
     Thread.sleep(SUSPENSION_MS);
-    dispatcher.signal("CONT");
+    dispatcher.resume();
     // Longer than a dispatcher waits for input at a time.
     Thread.sleep(SUSPENSION_MS);
     assertEquals(Outcome.ANSWERED, client.execute("0000000000000003", "once", DEADLINE_MS, 5));
@@ -60,12 +60,12 @@
         try (StatementClient client = new StatementClient(address, CLIENT_TIMEOUT_MS)) {
           assertEquals(
               Outcome.ANSWERED, client.execute("0000000000000001", "once", DEADLINE_MS, 5));
-          dispatcher.signal("STOP");
+          dispatcher.suspend();
           long sentAt = System.nanoTime();
           client.send("0000000000000002", "once", DEADLINE_MS, EXECUTION_MS);
           // The duration itself is tested.
           Thread.sleep(SUSPENSION_MS);
-          dispatcher.signal("CONT");
+          dispatcher.resume();
           assertEquals(Outcome.ANSWERED, client.awaitOutcome(), dispatcher.log());
           long startedAt = engine.lastStartTimes().get("0000000000000002");
           long remainingMs = DEADLINE_MS - TimeUnit.NANOSECONDS.toMillis(startedAt - sentAt);
--- a/src/test/java/cobaltseam/standin/DispatcherProcess.java
+++ b/src/test/java/cobaltseam/standin/DispatcherProcess.java
@@ -11,6 +11,7 @@
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -18,6 +19,7 @@
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /**
  * A dispatcher that runs in a process of its own. Tests start, suspend, kill, terminate and restart
@@ -29,6 +31,12 @@
 
   private static final int MAX_PORT = 32_000;
 
+  /** Where the state of a thread is in its line of {@code /proc}, behind the end of its name. */
+  private static final int STATE_OFFSET = 2;
+
+  private static final char STOPPED_STATE = 'T';
+  private static final long SUSPEND_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(5);
+
   private final Path folder;
   private final Path settingsFile;
   private final List<String> log = new ArrayList<>();
@@ -259,6 +267,38 @@
     }
   }
 
+  /** Sends SIGSTOP, and waits until all threads of the process are stopped. */
+  public void suspend() throws IOException, InterruptedException {
+    signal("STOP");
+    long deadline = System.nanoTime() + SUSPEND_TIMEOUT_NANOS;
+    while (!isStopped()) {
+      if (System.nanoTime() > deadline) {
+        throw new AssertionError("the process does not stop");
+      }
+    }
+  }
+
+  private boolean isStopped() throws IOException {
+    Path tasks = Path.of("/proc", Long.toString(process.pid()), "task");
+    try (Stream<Path> threads = Files.list(tasks)) {
+      for (Path thread : threads.toList()) {
+        String stat = Files.readString(thread.resolve("stat"));
+        if (stat.charAt(stat.lastIndexOf(')') + STATE_OFFSET) != STOPPED_STATE) {
+          return false;
+        }
+      }
+      return true;
+    } catch (NoSuchFileException e) {
+      // A thread has just ended.
+      return false;
+    }
+  }
+
+  /** Continues the process after {@link #suspend}. */
+  public void resume() throws IOException, InterruptedException {
+    signal("CONT");
+  }
+
   /** Returns the processor time that the process has used, in milliseconds. */
   public double processorMs() {
     return process.toHandle().info().totalCpuDuration().orElseThrow().toNanos() / 1e6;
