Close a connection to an engine that writes answers without end which end nothing

Cause: answers to ended or unknown attempts were bounded (256), status reports, repeated pages and answers to health checks were not, nor the length of an answer's fields, each of which becomes a string.

Change: at most 256 status reports an attempt, and 16 more in each interval at which the settings let engines report (1 s at most); repeated pages and unasked "alive" count as answers that nothing waits for; fields have 4 KB at most. Beyond that the connection is closed as for any protocol error: its attempts may have run, so they are retried or fail as their class says.

Tests: four in EngineFloodTest, which fail on the build before (sends_cut stays 0, the attempts time out after 3 s); a fifth holds that 256 reports before an answer do no harm.

--- a/src/main/java/cobaltseam/resp/EngineResponse.java
+++ b/src/main/java/cobaltseam/resp/EngineResponse.java
@@ -38,9 +38,15 @@
   /** The number of items of a response: id, code, fields and body. */
   private static final int ITEM_COUNT = 4;
 
+  /**
+   * The maximum length of the fields of a response, which hold a few short values each; longer ones
+   * would take much time to parse.
+   */
+  private static final int MAX_FIELDS_BYTES = 4096;
+
   /** Parses the items of a RESP array; returns null if they are not a response. */
   public static EngineResponse parse(List<byte[]> items) {
-    if (items.size() != ITEM_COUNT) {
+    if (items.size() != ITEM_COUNT || items.get(2).length > MAX_FIELDS_BYTES) {
       return null;
     }
     Map<String, String> fields = new HashMap<>();
--- a/src/main/java/cobaltseam/service/Attempt.java
+++ b/src/main/java/cobaltseam/service/Attempt.java
@@ -43,6 +43,9 @@
   /** The pages received so far; null until the first page is received. */
   Result result;
 
+  /** The number of status reports that the engine has written for this attempt. */
+  long statusReports;
+
   /** The engine's queue length as last reported for this attempt; negative if never reported. */
   double reportedQueueLength = -1;
 
--- a/src/main/java/cobaltseam/service/EngineAnswers.java
+++ b/src/main/java/cobaltseam/service/EngineAnswers.java
@@ -38,6 +38,7 @@
   private final Clock clock;
   private final Counters counters;
   private final AttemptLog log;
+  private final StatusReportLimit statusReportLimit = new StatusReportLimit();
 
   EngineAnswers(
       EngineConnectionPool pool,
@@ -52,6 +53,11 @@
     this.log = log;
   }
 
+  /** Applies the limits of answers. */
+  void applyConfiguration(ServiceConfiguration configuration) {
+    statusReportLimit.applyConfiguration(configuration);
+  }
+
   /**
    * Processes the input that was received on a connection in one read. Ignores the rest of it once
    * an answer has caused the connection to be closed.
@@ -75,11 +81,19 @@
     EngineResponse answer = EngineResponse.parse(items);
     if (answer == null) {
       protocolError(connection, "an array that is not an engine answer");
-    } else if (!answer.code().equals(EngineResponse.ALIVE)) {
+    } else if (answer.code().equals(EngineResponse.ALIVE)) {
+      processAlive(connection);
+    } else {
       process(connection, answer);
     }
   }
 
+  private void processAlive(EngineConnection connection) {
+    if (!connection.endHealthCheck()) {
+      countUnsolicited(connection);
+    }
+  }
+
   private void process(EngineConnection connection, EngineResponse answer) {
     Attempt attempt = connection.attempts.get(answer.id());
     if (attempt == null) {
@@ -104,6 +118,10 @@
 
   private void processStatus(EngineConnection connection, Attempt attempt, EngineResponse answer) {
     counters.add(Count.NOTES);
+    if (statusReportLimit.isExceededBy(attempt, connection.receivedAt)) {
+      protocolError(connection, "too many status reports of one attempt");
+      return;
+    }
     String reportType = answer.fields().getOrDefault("why", "");
     double value = answer.numberField("v");
     switch (reportType) {
@@ -128,18 +146,30 @@
     if (!isLate) {
       log.answerIgnored(connection, answer);
     }
-    if (connection.countUnsolicitedAnswer()) {
-      protocolError(connection, "too many answers to ended or unknown attempts");
-    } else if (isLate
+    if (countUnsolicited(connection)
+        && isLate
         && answer.code().equals(EngineResponse.OK)
         && answer.integerField("pages") > 1) {
       connection.write(EngineCommands.discard(answer.id()));
     }
   }
 
+  /**
+   * Counts an answer that nothing waits for, and closes the connection after too many.
+   *
+   * @return whether the connection stays open
+   */
+  private boolean countUnsolicited(EngineConnection connection) {
+    boolean isExceeded = connection.countUnsolicitedAnswer();
+    if (isExceeded) {
+      protocolError(connection, "too many answers that nothing waits for");
+    }
+    return !isExceeded;
+  }
+
   private void addFirstPage(EngineConnection connection, Attempt attempt, EngineResponse answer) {
     if (attempt.result != null) {
-      counters.add(Count.SECOND_COPIES);
+      processRepeated(connection);
       return;
     }
     int pages = answer.integerField("pages");
@@ -157,7 +187,7 @@
 
   private void addPage(EngineConnection connection, Attempt attempt, int page, byte[] body) {
     if (attempt.result != null && attempt.result.hasPage(page)) {
-      counters.add(Count.SECOND_COPIES);
+      processRepeated(connection);
       return;
     }
     String error =
@@ -171,6 +201,11 @@
     }
   }
 
+  private void processRepeated(EngineConnection connection) {
+    counters.add(Count.SECOND_COPIES);
+    countUnsolicited(connection);
+  }
+
   /**
    * Ends an attempt whose result can't be forwarded with {@link AttemptResult#ERROR}, and closes
    * its connection.
--- a/src/main/java/cobaltseam/service/EngineConnection.java
+++ b/src/main/java/cobaltseam/service/EngineConnection.java
@@ -3,6 +3,7 @@
 import cobaltseam.dispatch.EngineId;
 import cobaltseam.dispatch.TimeSpan;
 import cobaltseam.dispatch.Timestamp;
+import cobaltseam.resp.EngineCommands;
 import cobaltseam.resp.RespParser;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -21,11 +22,13 @@
   private static final int MAX_ENDED_IDS = 64;
 
   /**
-   * The number of answers to ended or unknown attempts that an engine may write between two
-   * requests or cancellations of this process.
+   * The number of answers that nothing waits for, such as answers to ended or unknown attempts and
+   * repeated pages, that an engine may write between two requests or cancellations of this process.
    */
   private static final int MAX_UNSOLICITED_ANSWERS = 256;
 
+  private static final String HEALTH_CHECK_TAG = "probe";
+
   /** With this many unwritten bytes or more, the connection accepts no further attempt. */
   private static final int MAX_UNWRITTEN_BYTES = 1 << 18;
 
@@ -64,6 +67,7 @@
 
   private long writtenMessages;
   private int unsolicitedAnswers;
+  private int openHealthChecks;
 
   EngineConnection(EngineId engine, Timestamp openedAt) {
     this.engine = engine;
@@ -87,8 +91,23 @@
     unsolicitedAnswers = 0;
   }
 
+  /** Writes a health check. */
+  void writeHealthCheck() {
+    write(EngineCommands.echo(HEALTH_CHECK_TAG));
+    openHealthChecks++;
+  }
+
+  /** Ends a health check; returns whether one was open. */
+  boolean endHealthCheck() {
+    if (openHealthChecks == 0) {
+      return false;
+    }
+    openHealthChecks--;
+    return true;
+  }
+
   /**
-   * Counts an answer to an ended or unknown attempt.
+   * Counts an answer that nothing waits for.
    *
    * @return whether more than {@link #MAX_UNSOLICITED_ANSWERS} were counted since the last reset
    */
--- a/src/main/java/cobaltseam/service/EngineConnections.java
+++ b/src/main/java/cobaltseam/service/EngineConnections.java
@@ -62,6 +62,7 @@
         new EngineConnectionPool(
             configuration, connector, inbox, clock, timers, counters, log, this);
     answers = new EngineAnswers(pool, this, clock, counters, log);
+    answers.applyConfiguration(configuration);
     connector.setHandler(new EngineInput(this, sockets, inbox, flowControl));
   }
 
@@ -76,6 +77,7 @@
    */
   void applyConfiguration(ServiceConfiguration configuration) {
     pool.applyConfiguration(configuration);
+    answers.applyConfiguration(configuration);
   }
 
   /** Applies an event that holds changes of the endpoint list or the complete list. */
@@ -237,7 +239,7 @@
   void checkHealth(EngineId engine, Timestamp now) {
     EngineConnection connection = pool.select(engine, "", List.of(), now);
     if (connection != null && connection.session != null) {
-      connection.write(EngineCommands.echo("probe"));
+      connection.writeHealthCheck();
     }
   }
 
--- a/src/test/java/cobaltseam/service/EngineFloodTest.java
+++ b/src/test/java/cobaltseam/service/EngineFloodTest.java
@@ -8,11 +8,13 @@
 import cobaltseam.standin.StatementClient;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.Function;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -21,6 +23,7 @@
   private static final int FLOODED_CONNECTIONS = 24;
   private static final int FLOOD_BYTES_PER_CONNECTION = 4 << 20;
   private static final int MEMORY_MB = 16;
+  private static final int REPEATED_ANSWERS = 5000;
   private static final int DEADLINE_MS = 3000;
   private static final int WORK_MS = 100;
 
@@ -156,4 +159,72 @@
       assertServes(process.address(), engine);
     }
   }
+
+  /** Has an engine write more of one answer than any engine needs, and waits for the outcome. */
+  private Outcome floodOneConnection(Function<String, String[]> answerToCall) throws Exception {
+    EmulatedPeer engine = new EmulatedPeer(true);
+    start(engine);
+    StatementClient client = send(service.address(), 1);
+    Message pull = engine.next("PULL");
+    try {
+      for (int n = 0; n < REPEATED_ANSWERS; n++) {
+        pull.answer(answerToCall.apply(pull.id()));
+      }
+    } catch (IOException e) {
+      assertTrue(e instanceof SocketException, "the dispatcher has closed the connection: " + e);
+    }
+    return client.awaitOutcome();
+  }
+
+  private void assertConnectionLost() throws Exception {
+    TestClient client = new TestClient();
+    assertTrue(client.execute("SHOW cobaltseam.counters").contains("sends_cut|1"));
+  }
+
+  /** Guards against an engine that takes the processor time of all requests by status reports. */
+  @Test
+  void endlessStatusReportsCloseTheConnection() throws Exception {
+    assertEquals(
+        Outcome.FAILED,
+        floodOneConnection(id -> new String[] {id, "status", "why=progress,v=0.5", ""}));
+    assertConnectionLost();
+  }
+
+  /** Guards against an engine that repeats a page of an open result without end. */
+  @Test
+  void endlessRepeatedPagesCloseTheConnection() throws Exception {
+    assertEquals(
+        Outcome.FAILED, floodOneConnection(id -> new String[] {id, "200", "pages=2", ROWS}));
+    assertConnectionLost();
+  }
+
+  /** Guards against an engine that answers health checks which nobody has sent. */
+  @Test
+  void endlessHealthCheckAnswersCloseTheConnection() throws Exception {
+    assertEquals(
+        Outcome.FAILED, floodOneConnection(id -> new String[] {"probe", "alive", "-", ""}));
+    assertConnectionLost();
+  }
+
+  /** Guards against fields whose parsing takes longer than the rest of the answer. */
+  @Test
+  void overlongFieldsCloseTheConnection() throws Exception {
+    String fields = "a=1,".repeat(2000);
+    assertEquals(Outcome.FAILED, floodOneConnection(id -> new String[] {id, "status", fields, ""}));
+    assertConnectionLost();
+  }
+
+  /** Guards against a limit that closes the connection of an engine that reports often. */
+  @Test
+  void manyStatusReportsBeforeTheAnswerAreAllowed() throws Exception {
+    EmulatedPeer engine = new EmulatedPeer(true);
+    start(engine);
+    StatementClient client = send(service.address(), 1);
+    Message pull = engine.next("PULL");
+    for (int n = 0; n < StatusReportLimit.MAX_BURST; n++) {
+      pull.answer(pull.id(), "status", "why=progress,v=0.5", "");
+    }
+    pull.answer(pull.id(), "200", "pages=1", ROWS);
+    assertEquals(Outcome.ANSWERED, client.awaitOutcome());
+  }
 }
