End the process when an error has ended one of its threads

Cause: Apache MINA catches exceptions of its I/O thread, but no Error; a thread of the executor then just ends, and nothing watches it. The other threads (acceptor, connector, fleet, datagrams) are alike.

Change: a handler for all threads prints the error, its trace and the counters, and halts the process with exit code 1. It does not run the shutdown, which would wait up to 6 s for answers that can't be sent. Other exceptions end only their thread, as before.

Test: FatalErrorHandlerTest throws an error on the I/O thread of a process; with the handler taken out of that process it fails with "the process stays up".

--- a/src/main/java/cobaltseam/service/DispatcherService.java
+++ b/src/main/java/cobaltseam/service/DispatcherService.java
@@ -202,6 +202,7 @@
     ServiceConfiguration configuration = ServiceConfiguration.read(System.getenv());
     Warmup.run(configuration);
     DispatcherService service = new DispatcherService(configuration);
+    FatalErrorHandler.install(service.counters);
     service.reloader.setSettingsFile(settingsFile);
     if (settings != null && settings.virtualAddresses() != null) {
       service.enableVirtualAddresses(settings.virtualAddresses());
--- a/src/test/java/cobaltseam/service/BlockableServiceProcess.java
+++ b/src/test/java/cobaltseam/service/BlockableServiceProcess.java
@@ -1,6 +1,7 @@
 package cobaltseam.service;
 
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cobaltseam.deployment.JsonObjectReader;
 import com.fasterxml.jackson.core.JsonFactory;
@@ -8,6 +9,7 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -86,6 +88,17 @@
     return Long.parseLong(execute("read"));
   }
 
+  /**
+   * Has an error end the I/O thread; returns the exit code of the process.
+   *
+   * @throws AssertionError if the process does not end
+   */
+  int exitCodeAfterErrorInIoThread() throws Exception {
+    execute("fail");
+    assertTrue(process.waitFor(ServiceRig.TIMEOUT_S, TimeUnit.SECONDS), "the process stays up");
+    return process.exitValue();
+  }
+
   private String execute(String command) throws Exception {
     process.getOutputStream().write((command + "\n").getBytes(StandardCharsets.US_ASCII));
     process.getOutputStream().flush();
@@ -113,7 +126,9 @@
     DispatcherService service =
         new DispatcherService(
             ServiceConfiguration.of(JsonObjectReader.of(new JsonFactory().createParser(text))));
+    FatalErrorHandler.install(service.counters());
     service.open();
+    startIoThread(service);
     Thread commands = new Thread(() -> executeCommands(service));
     commands.setDaemon(true);
     commands.start();
@@ -129,6 +144,7 @@
         switch (line) {
           case "block" -> block(service, release);
           case "unblock" -> release.countDown();
+          case "fail" -> failIoThread(service);
           default -> awaitRead(service);
         }
         reply(service.counters().get(Counters.Count.UNPROCESSED_INPUT_PEAK_BYTES));
@@ -154,6 +170,18 @@
     blocked.await();
   }
 
+  /** MINA starts the I/O thread with the first connection. */
+  private static void startIoThread(DispatcherService service) throws IOException {
+    new Socket(service.address().getAddress(), service.address().getPort()).close();
+  }
+
+  private static void failIoThread(DispatcherService service) {
+    service.processor.runAfterReading(
+        () -> {
+          throw new OutOfMemoryError("thrown by the test");
+        });
+  }
+
   private static void awaitRead(DispatcherService service) throws InterruptedException {
     for (int round = 0; round < 3; round++) {
       CountDownLatch read = new CountDownLatch(1);
