Log how long a lost endpoint watch lasted and how many lines it brought

Change: the line tells the age of the connection and the lines received on it; counter bus_first_line_peak_ms. No behaviour changes.

Ruled out: connects that fail (none), events that are passed over as old or unusable (no line ever came).

--- a/src/main/java/cobaltseam/service/Counters.java
+++ b/src/main/java/cobaltseam/service/Counters.java
@@ -152,7 +152,9 @@
     /**
      * How often no more was read from a connection until the event loop had processed its input.
      */
-    READS_SUSPENDED;
+    READS_SUSPENDED,
+    /** The longest time from a connect of the endpoint watch to its first line, in milliseconds. */
+    BUS_FIRST_LINE_PEAK_MS;
 
     /** The name as printed. */
     String label() {
--- a/src/main/java/cobaltseam/service/EndpointWatch.java
+++ b/src/main/java/cobaltseam/service/EndpointWatch.java
@@ -40,6 +40,8 @@
   private static final TimeSpan SILENCE_TIMEOUT_US = HEARTBEAT_PERIOD_US.times(2.5);
   private static final TimeSpan RECONNECT_BACKOFF_US = HEARTBEAT_PERIOD_US.times(0.25);
 
+  private static final int US_PER_MS = 1000;
+
   private InetSocketAddress address;
   private final SocketConnector connector;
   private final EventLoopQueue inbox;
@@ -70,6 +72,12 @@
   /** Ends the current connection for silence, or opens the next one. */
   private Timers.Timer connectionTimer;
 
+  /** When the current connection was begun. */
+  private Timestamp connectedAt;
+
+  /** The number of lines received on the current connection. */
+  private int receivedLines;
+
   /** When the last line was received; at first, the time of construction. */
   private Timestamp lastReceivedAt;
 
@@ -159,6 +167,8 @@
   /** Opens a connection and requests the events that follow the last known offset. */
   void connect() {
     long number = ++connectionNumber;
+    connectedAt = clock.now();
+    receivedLines = 0;
     future =
         connector.connect(
             address,
@@ -239,8 +249,13 @@
       return;
     }
     log.warn(
-        "endpoint watch connection lost: {0}; requesting events again from offset {1}",
-        Field.of("reason", reason), Field.of("offset", lastOffset), Field.event("bus.lost"));
+        "endpoint watch connection lost: {0}; requesting events again from offset {1}; it lasted"
+            + " {2} ms with {3} lines",
+        Field.of("reason", reason),
+        Field.of("offset", lastOffset),
+        Field.of("ageMs", clock.now().since(connectedAt).us() / US_PER_MS),
+        Field.of("lines", receivedLines),
+        Field.event("bus.lost"));
     disconnect();
     connectionTimer = timers.set(clock.now().plus(RECONNECT_BACKOFF_US), this::connect);
   }
@@ -264,6 +279,11 @@
     }
     restartSilenceTimeout(number);
     lastReceivedAt = clock.now();
+    receivedLines++;
+    if (receivedLines == 1) {
+      long waitMs = lastReceivedAt.since(connectedAt).us() / US_PER_MS;
+      counters.raiseTo(Count.BUS_FIRST_LINE_PEAK_MS, waitMs);
+    }
     try {
       if (line.matches("[0-9]{1,18}")) {
         processOffset(number, Long.parseLong(line));
