Keep a silent endpoint watch open until another one brings a line

Cause: EndpointWatch closed a connection 2.5 s after it had asked and asked anew, so that each answer found its connection closed. The time allowed never grew.

Change: WatchConnections asks on a further connection after 2.5 s without a line and keeps the earlier ones; the first on which a line comes replaces all others. At most four wait at once; the third and fourth are asked for after 5 and 10 s, so that a slow discovery is not crowded by our own repeats (before: one more every 2.75 s). A connect has 1 s as before. EndpointWatch keeps the events and their order.

Tests: slowEventBusIsHeardOnTheWatchThatItAnswers (the first of three watches answers 5 s after it was asked) and lineThatArrivesSlowlyIsReadToItsEnd; both fail on the build before, which closes the watch ("expected: <from 7> but was: <closed>"). Two tests of a silent watch expected the close before the next request; that order was the fault. They now expect the request, the event, and then the close of the silent watch, which is as strict.

--- a/src/test/java/cobaltseam/service/EndpointWatchRaceTest.java
+++ b/src/test/java/cobaltseam/service/EndpointWatchRaceTest.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -157,12 +158,47 @@
     EmulatedPeer one = new EmulatedPeer(true);
     EmulatedPeer two = new EmulatedPeer(true);
     EmulatedPeer eventBus = start(one, two);
-    eventBus.next("from 7");
-    eventBus.next("closed");
+    Message silentWatch = eventBus.next("from 7");
     eventBus
         .next("from 7")
         .write(endpointEvent(8, false, endpointJson(2, two.address(), drainedState)) + "\n");
     awaitCounter(new TestClient(), "bus_events|1");
+    assertEquals(silentWatch.from(), eventBus.next("closed").from());
+    assertRequestSentTo(one, two);
+  }
+
+  /** Guards against a watch that is closed before a slow event bus has answered it. */
+  @Test
+  void slowEventBusIsHeardOnTheWatchThatItAnswers() throws Exception {
+    EmulatedPeer one = new EmulatedPeer(true);
+    EmulatedPeer two = new EmulatedPeer(true);
+    EmulatedPeer eventBus = start(one, two);
+    Message answeredWatch = eventBus.next("from 7");
+    Message secondWatch = eventBus.next("from 7");
+    Message thirdWatch = eventBus.next("from 7");
+    answeredWatch.write(
+        endpointEvent(8, false, endpointJson(2, two.address(), drainedState)) + "\n8\n");
+    awaitCounter(new TestClient(), "bus_events|1");
+    assertEquals(
+        Set.of(secondWatch.from(), thirdWatch.from()),
+        Set.of(eventBus.next("closed").from(), eventBus.next("closed").from()));
+    answeredWatch.write(endpointEvent(9, false) + "\n");
+    awaitCounter(new TestClient(), "bus_events|2");
+    assertRequestSentTo(one, two);
+  }
+
+  /** Guards against a list that arrives so slowly that its watch is closed before its end. */
+  @Test
+  void lineThatArrivesSlowlyIsReadToItsEnd() throws Exception {
+    EmulatedPeer one = new EmulatedPeer(true);
+    EmulatedPeer two = new EmulatedPeer(true);
+    EmulatedPeer eventBus = start(one, two);
+    String event = endpointEvent(8, false, endpointJson(2, two.address(), drainedState));
+    Message watch = eventBus.next("from 7");
+    watch.write(event.substring(0, 20));
+    eventBus.next("from 7");
+    watch.write(event.substring(20) + "\n");
+    awaitCounter(new TestClient(), "bus_events|1");
     assertRequestSentTo(one, two);
   }
 
@@ -172,12 +208,13 @@
     EmulatedPeer one = new EmulatedPeer(true);
     EmulatedPeer two = new EmulatedPeer(true);
     EmulatedPeer eventBus = start(one, two);
-    eventBus.next("from 7").write("7\n" + endpointEvent(8, false) + "\n8\n");
-    eventBus.next("closed");
+    Message silentWatch = eventBus.next("from 7");
+    silentWatch.write("7\n" + endpointEvent(8, false) + "\n8\n");
     eventBus
         .next("from 8")
         .write(endpointEvent(9, false, endpointJson(2, two.address(), drainedState)) + "\n");
     awaitCounter(new TestClient(), "bus_events|2");
+    assertEquals(silentWatch.from(), eventBus.next("closed").from());
     assertRequestSentTo(one, two);
   }
 
