Read no more from discovery than the event loop processes

Change: the watch uses ReadFlowControl like the connections to engines, so that it waits in place of being closed, and counts in the bound over all.

--- a/src/main/java/cobaltseam/service/BacklogMonitor.java
+++ b/src/main/java/cobaltseam/service/BacklogMonitor.java
@@ -6,9 +6,9 @@
 
 /**
  * Observes how long tasks wait for the event loop. Keeps the longest wait as a counter, and logs
- * long ones together with what tells their causes apart: many tasks, much input of engines, a heap
- * that is almost full, or none of these where the process was not scheduled. Confined to the
- * event-loop thread.
+ * long ones together with what tells their causes apart: many tasks, much input of engines or
+ * discovery, a heap that is almost full, or none of these where the process was not scheduled.
+ * Confined to the event-loop thread.
  */
 final class BacklogMonitor {
   /** A task that waited for longer than this is logged; in microseconds. */
@@ -42,11 +42,11 @@
   private void logDelay(long waitMs) {
     Runtime runtime = Runtime.getRuntime();
     log.warn(
-        "the event loop is {0} ms behind: {1} tasks and {2} bytes from engines wait, the heap"
+        "the event loop is {0} ms behind: {1} tasks and {2} bytes from engines and discovery wait, the heap"
             + " holds {3} of {4} MB",
         Field.of("delayMs", waitMs),
         Field.of("tasks", inbox.size()),
-        Field.of("engineBytes", flowControl.unprocessedBytes()),
+        Field.of("inputBytes", flowControl.unprocessedBytes()),
         Field.of("heapMb", (runtime.totalMemory() - runtime.freeMemory()) / BYTES_PER_MB),
         Field.of("maxHeapMb", runtime.maxMemory() / BYTES_PER_MB),
         Field.event("event_loop.behind"));
--- a/src/main/java/cobaltseam/service/Counters.java
+++ b/src/main/java/cobaltseam/service/Counters.java
@@ -143,7 +143,7 @@
     ENGINE_CONNECTS_REPEATED,
     /** Attempts that were not sent since no connection could be opened on this machine. */
     SENDS_LOCAL_FAILURE,
-    /** The most bytes received from engines that waited for the event loop at once. */
+    /** The most bytes from engines and discovery that waited for the event loop at once. */
     UNPROCESSED_INPUT_PEAK_BYTES,
     /** The longest time that a task waited for the event loop, in milliseconds. */
     EVENT_LOOP_PEAK_DELAY_MS,
--- a/src/main/java/cobaltseam/service/DispatcherService.java
+++ b/src/main/java/cobaltseam/service/DispatcherService.java
@@ -141,6 +141,7 @@
             configuration,
             watchConnector,
             inbox,
+            flowControl,
             clock,
             timers,
             counters,
--- a/src/main/java/cobaltseam/service/EndpointWatch.java
+++ b/src/main/java/cobaltseam/service/EndpointWatch.java
@@ -53,6 +53,7 @@
       ServiceConfiguration configuration,
       SocketConnector connector,
       EventLoopQueue inbox,
+      ReadFlowControl flowControl,
       Clock clock,
       Timers timers,
       Counters counters,
@@ -66,7 +67,15 @@
     lastReceivedAt = clock.now();
     connections =
         new WatchConnections(
-            configuration.watchAddress(), connector, inbox, clock, timers, counters, log, this);
+            configuration.watchAddress(),
+            connector,
+            inbox,
+            flowControl,
+            clock,
+            timers,
+            counters,
+            log,
+            this);
   }
 
   // ---- connections
--- a/src/main/java/cobaltseam/service/WatchConnections.java
+++ b/src/main/java/cobaltseam/service/WatchConnections.java
@@ -72,6 +72,7 @@
       InetSocketAddress address,
       SocketConnector connector,
       EventLoopQueue inbox,
+      ReadFlowControl flowControl,
       Clock clock,
       Timers timers,
       Counters counters,
@@ -85,7 +86,7 @@
     this.counters = counters;
     this.log = log;
     this.listener = listener;
-    connector.setHandler(new WatchInput(this, inbox));
+    connector.setHandler(new WatchInput(this, inbox, flowControl));
   }
 
   /** Moves to an event bus at another address; does nothing if the address is the same. */
--- a/src/main/java/cobaltseam/service/WatchInput.java
+++ b/src/main/java/cobaltseam/service/WatchInput.java
@@ -1,11 +1,13 @@
 package cobaltseam.service;
 
-import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.session.IoSession;
 
-/** Receives the bytes of the event bus on the I/O thread and posts them to the event loop. */
+/**
+ * Receives the bytes of the event bus on the I/O thread and posts them to the event loop. {@link
+ * ReadFlowControl} limits how many wait there.
+ */
 final class WatchInput extends IoHandlerAdapter {
   /** Is notified on the event-loop thread. */
   interface Listener {
@@ -17,17 +19,15 @@
   }
 
   private static final String CONNECTION_ATTRIBUTE = "connection";
-  private static final String UNPROCESSED_BYTES_ATTRIBUTE = "unheard";
-
-  /** A connection of which more bytes wait for the event loop is closed. */
-  private static final int MAX_UNPROCESSED_BYTES = 2 << 20;
 
   private final Listener listener;
   private final EventLoopQueue inbox;
+  private final ReadFlowControl flowControl;
 
-  WatchInput(Listener listener, EventLoopQueue inbox) {
+  WatchInput(Listener listener, EventLoopQueue inbox, ReadFlowControl flowControl) {
     this.listener = listener;
     this.inbox = inbox;
+    this.flowControl = flowControl;
   }
 
   /** Associates a session with its connection, before the session receives anything. */
@@ -41,23 +41,18 @@
 
   @Override
   public void sessionCreated(IoSession session) {
-    session.setAttribute(UNPROCESSED_BYTES_ATTRIBUTE, new AtomicInteger());
+    flowControl.opened(session);
   }
 
   @Override
   public void messageReceived(IoSession session, Object message) {
     byte[] bytes = new byte[((IoBuffer) message).remaining()];
     ((IoBuffer) message).get(bytes);
-    AtomicInteger unprocessedBytes =
-        (AtomicInteger) session.getAttribute(UNPROCESSED_BYTES_ATTRIBUTE);
-    if (unprocessedBytes.addAndGet(bytes.length) > MAX_UNPROCESSED_BYTES) {
-      session.closeNow();
-      return;
-    }
+    flowControl.received(session, bytes.length);
     inbox.post(
         session,
         () -> {
-          unprocessedBytes.addAndGet(-bytes.length);
+          flowControl.processed(session, bytes.length);
           listener.received(connection(session), bytes);
         });
   }
--- a/src/test/java/cobaltseam/service/EngineFloodTest.java
+++ b/src/test/java/cobaltseam/service/PeerFloodTest.java
@@ -18,8 +18,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** Tests engines that write more than the event loop can process. */
-class EngineFloodTest extends ServiceRig {
+/** Tests engines and an event bus that write more than the event loop can process. */
+class PeerFloodTest extends ServiceRig {
   private static final int FLOODED_CONNECTIONS = 24;
   private static final int FLOOD_BYTES_PER_CONNECTION = 4 << 20;
   private static final int MEMORY_MB = 16;
@@ -45,13 +45,17 @@
 
   /** Has an engine write status reports as fast as the connection takes them. */
   private static Thread startFlood(Message pull) {
-    byte[] reports = statusReport(pull).repeat(100).getBytes(StandardCharsets.US_ASCII);
+    return startFlood(pull, statusReport(pull).repeat(100));
+  }
+
+  private static Thread startFlood(Message request, String answers) {
+    byte[] bytes = answers.getBytes(StandardCharsets.US_ASCII);
     Thread writer =
         new Thread(
             () -> {
               try {
-                for (int n = 0; n < FLOOD_BYTES_PER_CONNECTION; n += reports.length) {
-                  pull.from().getOutputStream().write(reports);
+                for (int n = 0; n < FLOOD_BYTES_PER_CONNECTION; n += bytes.length) {
+                  request.from().getOutputStream().write(bytes);
                 }
               } catch (IOException e) {
                 // Expected when the dispatcher closes the connection.
@@ -121,7 +125,7 @@
         engine.address());
     List<Message> pulls = sendRequests(service.address(), engine);
     CountDownLatch release = blockEventLoop();
-    List<Thread> floods = pulls.stream().map(EngineFloodTest::startFlood).toList();
+    List<Thread> floods = pulls.stream().map(PeerFloodTest::startFlood).toList();
     long peak =
         awaitReadingStops(
             () -> {
@@ -152,7 +156,7 @@
     try (BlockableServiceProcess process = new BlockableServiceProcess(folder, configuration)) {
       List<Message> pulls = sendRequests(process.address(), engine);
       process.blockEventLoop();
-      List<Thread> floods = pulls.stream().map(EngineFloodTest::startFlood).toList();
+      List<Thread> floods = pulls.stream().map(PeerFloodTest::startFlood).toList();
       awaitReadingStops(process::awaitRead);
       process.unblockEventLoop();
       join(floods);
@@ -160,6 +164,27 @@
     }
   }
 
+  /** Guards against a heap that is used up by the heartbeats of an event bus without pauses. */
+  @Test
+  void floodOfTheEventBusDoesNotUseUpTheHeap() throws Exception {
+    EmulatedPeer engine = new EmulatedPeer(true);
+    EmulatedPeer eventBus = new EmulatedPeer(false);
+    String configuration =
+        configurationJson(
+            eventBus.address(), SOCKETS, IDLE_MS, endpointJson(1, engine.address(), "in_service"));
+    try (BlockableServiceProcess process = new BlockableServiceProcess(folder, configuration)) {
+      Message watch = eventBus.next("from 7");
+      process.blockEventLoop();
+      Thread flood = startFlood(watch, "7\n".repeat(1000));
+      long peak = awaitReadingStops(process::awaitRead);
+      process.unblockEventLoop();
+      flood.join();
+      assertTrue(
+          peak <= ReadFlowControl.MAX_CONNECTION_BYTES + READ_BYTES, peak + " bytes were read");
+      assertServes(process.address(), engine);
+    }
+  }
+
   /** Has an engine write more of one answer than any engine needs, and waits for the outcome. */
   private Outcome floodOneConnection(Function<String, String[]> answerToCall) throws Exception {
     EmulatedPeer engine = new EmulatedPeer(true);
