Apply an event of discovery that comes after it was taken for lost

Cause: at the second heartbeat ahead of an event EndpointWatch moved its last offset past it, which is right for an event that is lost; one that came after all counted as old, and was never asked for again.

Change: LateEvents remembers the first skipped offset, what was applied since, and which engines that changed.

Tests: three in EndpointWatchRaceTest, which fail on the build before ("bus_events_late|1 was not reached", "from 9" in place of "from 7"; the third also since that counter was not there).

--- a/src/main/java/cobaltseam/service/Counters.java
+++ b/src/main/java/cobaltseam/service/Counters.java
@@ -154,7 +154,9 @@
      */
     READS_SUSPENDED,
     /** The longest time from a connect of the endpoint watch to its first line, in milliseconds. */
-    BUS_FIRST_LINE_PEAK_MS;
+    BUS_FIRST_LINE_PEAK_MS,
+    /** Endpoint events that arrived after they were skipped as lost, and were applied then. */
+    BUS_EVENTS_LATE;
 
     /** The name as printed. */
     String label() {
--- a/src/main/java/cobaltseam/service/EndpointWatch.java
+++ b/src/main/java/cobaltseam/service/EndpointWatch.java
@@ -29,6 +29,7 @@
   private final RateLimitedLog log;
   private final Consumer<WatchEvent> listener;
   private final WatchConnections connections;
+  private final LateEvents lateEvents = new LateEvents();
   private final JsonFactory json = new JsonFactory();
 
   /** The offset of the last event that was applied or skipped. */
@@ -94,8 +95,8 @@
   }
 
   @Override
-  public long lastOffset() {
-    return lastOffset;
+  public long requestOffset() {
+    return lateEvents.requestOffset(lastOffset);
   }
 
   @Override
@@ -133,7 +134,7 @@
     for (WatchEvent event : events) {
       if (event.offset() > lastOffset && (event.isComplete() || event.offset() == lastOffset + 1)) {
         lastOffset = event.offset();
-        listener.accept(event);
+        apply(event);
       }
     }
   }
@@ -165,6 +166,7 @@
     boolean wasAhead = connection.isOffsetAhead;
     connection.isOffsetAhead = offset > lastOffset;
     if (connection.isOffsetAhead && !requestMissing(connection) && wasAhead) {
+      lateEvents.skip(lastOffset + 1);
       lastOffset = offset;
       connection.isOffsetAhead = false;
     }
@@ -179,19 +181,43 @@
     boolean isComplete =
         event.has(WatchEvent.EVENT_FIELD)
             && event.object(WatchEvent.EVENT_FIELD).flag(WatchEvent.COMPLETE_FIELD);
-    // A complete list replaces the state, so events missing before it are not needed.
-    if (offset <= lastOffset
-        || offset > lastOffset + 1 && !isComplete && requestMissing(connection)) {
+    if (offset <= lastOffset) {
+      processLateEvent(offset, event);
       return;
     }
+    // A complete list replaces the state, so events missing before it are not needed.
+    if (offset > lastOffset + 1 && !isComplete) {
+      if (requestMissing(connection)) {
+        return;
+      }
+      lateEvents.skip(lastOffset + 1);
+    }
     lastOffset = offset;
     connection.isOffsetAhead = false;
     counters.add(Count.BUS_EVENTS);
     if (event.has(WatchEvent.EVENT_FIELD)) {
-      listener.accept(WatchEvent.of(event));
+      apply(WatchEvent.of(event));
+    }
+  }
+
+  /** Applies an event that was skipped, as far as no later one has changed the same engines. */
+  private void processLateEvent(long offset, JsonObjectReader event) {
+    if (lateEvents.isSkipped(offset) && event.has(WatchEvent.EVENT_FIELD)) {
+      counters.add(Count.BUS_EVENTS_LATE);
+      log.warn(
+          "endpoint watch: event {0} arrived after it was skipped, and is applied now",
+          Field.of("offset", offset), Field.event("bus.event_late"));
+      WatchEvent late = lateEvents.withoutLaterChanges(WatchEvent.of(event));
+      lateEvents.recordAppliedLate(late);
+      listener.accept(late);
     }
   }
 
+  private void apply(WatchEvent event) {
+    lateEvents.recordApplied(event);
+    listener.accept(event);
+  }
+
   /**
    * Requests missing events again, but only once for each offset: an event that can't be used would
    * otherwise block all that follow.
--- a/src/main/java/cobaltseam/service/WatchConnections.java
+++ b/src/main/java/cobaltseam/service/WatchConnections.java
@@ -20,7 +20,7 @@
   /** The owner of the watch; called on the event-loop thread. */
   interface Listener {
     /** Returns the offset after which events are requested. */
-    long lastOffset();
+    long requestOffset();
 
     /** Called when events were requested on a connection. */
     void requested();
@@ -133,7 +133,7 @@
       if (open.size() > MAX_WAITING) {
         open.remove(0).close();
       }
-      connection.requestEventsAfter(listener.lastOffset());
+      connection.requestEventsAfter(listener.requestOffset());
       restartTimer(silenceTimeout(), this::requestAgain);
       listener.requested();
     }
@@ -220,7 +220,7 @@
         "endpoint watch connection lost: {0}; requesting events again from offset {1}; it lasted"
             + " {2} ms with {3} lines",
         Field.of("reason", reason),
-        Field.of("offset", listener.lastOffset()),
+        Field.of("offset", listener.requestOffset()),
         Field.of("ageMs", now.since(connection.openedAt).us() / US_PER_MS),
         Field.of("lines", connection.receivedLines),
         Field.event("bus.lost"));
--- a/src/test/java/cobaltseam/service/EndpointWatchRaceTest.java
+++ b/src/test/java/cobaltseam/service/EndpointWatchRaceTest.java
@@ -153,6 +153,64 @@
     assertRequestSentTo(one, two);
   }
 
+  /** Guards against an event that is ignored as old since it arrives after it was skipped. */
+  @Test
+  void eventThatArrivesAfterItWasSkippedIsApplied() throws Exception {
+    EmulatedPeer one = new EmulatedPeer(true);
+    EmulatedPeer two = new EmulatedPeer(true);
+    EmulatedPeer eventBus = start(one, two);
+    eventBus.next("from 7").write("8\n");
+    eventBus.next("closed");
+    eventBus
+        .next("from 7")
+        .write(
+            "8\n8\n8\n"
+                + endpointEvent(8, false, endpointJson(2, two.address(), drainedState))
+                + "\n");
+    awaitCounter(new TestClient(), "bus_events_late|1");
+    assertRequestSentTo(one, two);
+  }
+
+  /** Guards against an event that is lost with its connection since it was skipped before. */
+  @Test
+  void skippedEventIsRequestedOnTheNextWatch() throws Exception {
+    EmulatedPeer one = new EmulatedPeer(true);
+    EmulatedPeer two = new EmulatedPeer(true);
+    EmulatedPeer eventBus = start(one, two);
+    eventBus.next("from 7").write("8\n");
+    eventBus.next("closed");
+    Message watch = eventBus.next("from 7");
+    watch.write("8\n8\n" + endpointEvent(9, false) + "\n9\n");
+    awaitCounter(new TestClient(), "bus_events|1");
+    watch.reset();
+    eventBus.next("closed");
+    eventBus
+        .next("from 7")
+        .write(endpointEvent(8, false, endpointJson(2, two.address(), drainedState)) + "\n9\n");
+    awaitCounter(new TestClient(), "bus_events_late|1");
+    assertRequestSentTo(one, two);
+  }
+
+  /** Guards against an event that arrives late and undoes a newer change of the same engine. */
+  @Test
+  void eventThatArrivesAfterItWasSkippedUndoesNoLaterChange() throws Exception {
+    EmulatedPeer one = new EmulatedPeer(true);
+    EmulatedPeer two = new EmulatedPeer(true);
+    EmulatedPeer eventBus = start(one, two);
+    eventBus.next("from 7").write("8\n");
+    eventBus.next("closed");
+    eventBus
+        .next("from 7")
+        .write(
+            "8\n8\n"
+                + endpointEvent(9, false, endpointJson(2, two.address(), drainedState))
+                + "\n"
+                + endpointEvent(8, false, endpointJson(2, two.address(), "in_service"))
+                + "\n");
+    awaitCounter(new TestClient(), "bus_events_late|1");
+    assertRequestSentTo(one, two);
+  }
+
   @Test
   void watchThatIsSilentFromTheStartIsReconnected() throws Exception {
     EmulatedPeer one = new EmulatedPeer(true);
