Tests: one place that holds threads back; the error test keeps the I/O thread alive

FatalErrorHandlerTest failed once ("the process stays up") in a run of four classes: MINA ends its I/O thread when the last connection closes, and the test closed its only one before it had the thread throw. The steps that block the event loop and wait for reading stood twice, in ServiceRig and BlockableServiceProcess, and are in ServiceThreads now.

--- a/src/test/java/cobaltseam/service/BlockableServiceProcess.java
+++ b/src/test/java/cobaltseam/service/BlockableServiceProcess.java
@@ -128,24 +128,27 @@
             ServiceConfiguration.of(JsonObjectReader.of(new JsonFactory().createParser(text))));
     FatalErrorHandler.install(service.counters());
     service.open();
-    startIoThread(service);
     Thread commands = new Thread(() -> executeCommands(service));
     commands.setDaemon(true);
     commands.start();
-    reply(service.address().getPort());
-    service.runLoop();
+    // MINA runs the I/O thread while a connection is open.
+    try (Socket connection =
+        new Socket(service.address().getAddress(), service.address().getPort())) {
+      reply(connection.getPort());
+      service.runLoop();
+    }
   }
 
   private static void executeCommands(DispatcherService service) {
-    CountDownLatch release = new CountDownLatch(1);
+    CountDownLatch release = new CountDownLatch(0);
     try (BufferedReader input =
         new BufferedReader(new InputStreamReader(System.in, StandardCharsets.US_ASCII))) {
       for (String line = input.readLine(); line != null; line = input.readLine()) {
         switch (line) {
-          case "block" -> block(service, release);
+          case "block" -> release = ServiceThreads.blockEventLoop(service);
           case "unblock" -> release.countDown();
           case "fail" -> failIoThread(service);
-          default -> awaitRead(service);
+          default -> ServiceThreads.awaitRead(service);
         }
         reply(service.counters().get(Counters.Count.UNPROCESSED_INPUT_PEAK_BYTES));
       }
@@ -154,27 +157,6 @@
     }
   }
 
-  private static void block(DispatcherService service, CountDownLatch release)
-      throws InterruptedException {
-    CountDownLatch blocked = new CountDownLatch(1);
-    service.inbox.post(
-        null,
-        () -> {
-          blocked.countDown();
-          try {
-            release.await();
-          } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-          }
-        });
-    blocked.await();
-  }
-
-  /** MINA starts the I/O thread with the first connection. */
-  private static void startIoThread(DispatcherService service) throws IOException {
-    new Socket(service.address().getAddress(), service.address().getPort()).close();
-  }
-
   private static void failIoThread(DispatcherService service) {
     service.processor.runAfterReading(
         () -> {
@@ -182,14 +164,6 @@
         });
   }
 
-  private static void awaitRead(DispatcherService service) throws InterruptedException {
-    for (int round = 0; round < 3; round++) {
-      CountDownLatch read = new CountDownLatch(1);
-      service.processor.runAfterReading(read::countDown);
-      read.await();
-    }
-  }
-
   private static void reply(long value) {
     System.out.println(REPLY_PREFIX + value);
   }
--- a/src/test/java/cobaltseam/service/ServiceRig.java
+++ b/src/test/java/cobaltseam/service/ServiceRig.java
@@ -27,6 +27,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
+import org.apache.mina.core.filterchain.IoFilter;
 import org.apache.mina.core.filterchain.IoFilterAdapter;
 import org.apache.mina.core.session.IoSession;
 import org.junit.jupiter.api.AfterEach;
@@ -395,7 +396,7 @@
     service.processor.runAfterReading(
         () -> {
           blocked.countDown();
-          awaitQuietly(release);
+          ServiceThreads.awaitQuietly(release);
         });
     blocked.await();
     return release;
@@ -418,61 +419,45 @@
           service.processor.runAfterReading(
               () -> {
                 blocked.countDown();
-                awaitQuietly(release);
+                ServiceThreads.awaitQuietly(release);
               });
         });
     blocked.await();
     return release;
   }
 
+  /** Adds a filter to the service's end of a client's connection. */
+  void addFilter(TestClient client, IoFilter filter) {
+    service.acceptor.getManagedSessions().values().stream()
+        .filter(s -> s.getRemoteAddress().equals(client.socket.getLocalSocketAddress()))
+        .forEach(s -> s.getFilterChain().addLast("test", filter));
+  }
+
   /** Blocks the I/O thread within a read round, at the next message that a client sends. */
   final class ReadBlocker extends IoFilterAdapter {
     final CountDownLatch blocked = new CountDownLatch(1);
     final CountDownLatch release = new CountDownLatch(1);
 
     ReadBlocker(TestClient client) {
-      service.acceptor.getManagedSessions().values().stream()
-          .filter(s -> s.getRemoteAddress().equals(client.socket.getLocalSocketAddress()))
-          .forEach(s -> s.getFilterChain().addLast("read-blocker", this));
+      addFilter(client, this);
     }
 
     @Override
     public void messageReceived(NextFilter next, IoSession session, Object message) {
       blocked.countDown();
-      awaitQuietly(release);
+      ServiceThreads.awaitQuietly(release);
       next.messageReceived(session, message);
     }
   }
 
   /** Waits until all data that peers wrote before this call is read and posted. */
   void awaitRead() throws InterruptedException {
-    for (int round = 0; round < 3; round++) {
-      CountDownLatch read = new CountDownLatch(1);
-      service.processor.runAfterReading(read::countDown);
-      read.await();
-    }
-  }
-
-  private static void awaitQuietly(CountDownLatch release) {
-    try {
-      release.await();
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+    ServiceThreads.awaitRead(service);
   }
 
   /** Blocks the event-loop thread; returns the latch that unblocks it when counted down. */
   CountDownLatch blockEventLoop() throws InterruptedException {
-    CountDownLatch release = new CountDownLatch(1);
-    CountDownLatch blocked = new CountDownLatch(1);
-    service.inbox.post(
-        null,
-        () -> {
-          blocked.countDown();
-          awaitQuietly(release);
-        });
-    blocked.await();
-    return release;
+    return ServiceThreads.blockEventLoop(service);
   }
 
   /** Waits until a task is in the queue of the event-loop thread, which has to be blocked. */
