Write answers before connections close, however many are closing

Cause: beyond an eighth of the client limit ClosingClients ended the oldest closing connection with closeNow, which drops what the I/O thread has not written. In a forced shutdown that is the answer handed over in the same task.

Change: closeOnFlush in its place; the connection's own timeout of 1 s still ends it.

Test: ShutdownRaceTest.answersOfRequestsAbandonedTogetherAreWritten holds the I/O thread in the removal of another connection until 40 requests have been given up. Before: EOFException; after: 40 answers.

--- a/src/main/java/cobaltseam/service/ClosingClients.java
+++ b/src/main/java/cobaltseam/service/ClosingClients.java
@@ -27,8 +27,9 @@
   }
 
   /**
-   * Schedules the close of a connection for the end of the timeout, and closes the oldest of the
-   * closing connections at once if there are too many.
+   * Schedules the close of a connection for the end of the timeout. If there are too many closing
+   * connections, the oldest is closed as soon as its replies are written, and at its own timeout at
+   * the latest.
    */
   void add(ClientSession client) {
     client.closeTimer = timers.set(clock.now().plus(CLOSE_TIMEOUT_US), client.session::closeNow);
@@ -36,7 +37,7 @@
     if (closing.size() > maxClosing) {
       ClientSession oldest = closing.iterator().next();
       closing.remove(oldest);
-      oldest.session.closeNow();
+      oldest.session.closeOnFlush();
     }
   }
 
--- a/src/test/java/cobaltseam/service/ShutdownRaceTest.java
+++ b/src/test/java/cobaltseam/service/ShutdownRaceTest.java
@@ -4,16 +4,24 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import cobaltseam.service.Counters.Count;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.apache.mina.core.filterchain.IoFilterAdapter;
+import org.apache.mina.core.session.IoSession;
 import org.junit.jupiter.api.Test;
 
 /** Races of a shutdown with clients' messages, and of a close with unread input. */
 class ShutdownRaceTest extends ServiceRig {
   private static final int END_OF_STREAM = -1;
 
+  /** More than may be closing at once with the default limit of descriptors. */
+  private static final int ABANDONED_REQUESTS = 40;
+
   /** A small socket send buffer, so that a large answer is not written at once. */
   private static final int SEND_BUFFER_BYTES = 4096;
 
@@ -131,6 +139,57 @@
     assertShutdownCompletes(stopThread);
   }
 
+  /** Blocks the I/O thread while it removes the connection of a client. */
+  private final class RemovalBlocker extends IoFilterAdapter {
+    final CountDownLatch blocked = new CountDownLatch(1);
+    final CountDownLatch release = new CountDownLatch(1);
+
+    RemovalBlocker(TestClient client) {
+      addFilter(client, this);
+    }
+
+    @Override
+    public void sessionClosed(NextFilter next, IoSession session) throws Exception {
+      blocked.countDown();
+      release.await();
+      next.sessionClosed(session);
+    }
+  }
+
+  /** Guards against answers that are dropped since many connections close at the same time. */
+  @Test
+  void answersOfRequestsAbandonedTogetherAreWritten() throws Exception {
+    EmulatedPeer engine = new EmulatedPeer(true);
+    start(
+        configuration ->
+            configuration
+                .replace("\"hard_limit_us\":3000000", "\"hard_limit_us\":60000000")
+                .replace("\"cores_by_kind\":[4]", "\"cores_by_kind\":[64]"),
+        SOCKETS,
+        IDLE_MS,
+        engine.address());
+    List<TestClient> clients = new ArrayList<>();
+    for (int call = 1; call <= ABANDONED_REQUESTS; call++) {
+      clients.add(new TestClient(statement("once", call, 60_000)));
+      engine.next("PULL");
+    }
+    TestClient leaving = new TestClient();
+    RemovalBlocker blocker = new RemovalBlocker(leaving);
+    Thread stopThread = shutDown();
+    leaving.close();
+    blocker.blocked.await();
+    for (int i = 0; service.counters().get(Count.COMMANDS_FAILED) < ABANDONED_REQUESTS; i++) {
+      assertTrue(i < TIMEOUT_S * 1000, "the requests were not abandoned");
+      Thread.sleep(1);
+    }
+    awaitEventLoopTurn();
+    blocker.release.countDown();
+    for (TestClient client : clients) {
+      assertEquals(List.of("error 58"), client.readReplies());
+    }
+    assertShutdownCompletes(stopThread);
+  }
+
   /** A cancel request arrives on a new connection, so the listener has to stay open. */
   @Test
   void cancelRequestIsProcessedDuringShutdown() throws Exception {
