Keep the other virtual routers active when an active one is removed

Cause: Mastership.reconfigure removes the router and returns its resignation; VirtualAddressService.advertise asked Mastership for the options of that router: NullPointerException, and an exception there ends mastership as a whole.

Change: MastershipAction.Advertise carries the options that it was decided with. MastershipTest now compares these too.

Test: removalOfAnActiveRouterKeepsTheOthersActive, which fails with the former line ("expected: <on> but was: <ended by a fault>").

--- a/src/main/java/cobaltseam/mastership/VirtualRouter.java
+++ b/src/main/java/cobaltseam/mastership/VirtualRouter.java
@@ -112,7 +112,7 @@
     return state.role() == Role.ACTIVE
         ? new Transition(
             next,
-            new MastershipAction.Advertise(options.router(), Advertisement.RESIGNATION_PRIORITY),
+            new MastershipAction.Advertise(options, Advertisement.RESIGNATION_PRIORITY),
             new MastershipAction.Release(options.router(), reason))
         : new Transition(next);
   }
@@ -122,7 +122,7 @@
     if (state.role() == Role.ACTIVE) {
       return new Transition(
           state.withAdvertisement(now, now.plus(options.advertisementInterval())),
-          new MastershipAction.Advertise(options.router(), state.priority()));
+          new MastershipAction.Advertise(options, state.priority()));
     }
     if (state.role() != Role.BACKUP) {
       return new Transition(state.withTimerExpiry(null));
@@ -144,7 +144,7 @@
             .withAdvertisement(now, now.plus(options.advertisementInterval()));
     return new Transition(
         next,
-        new MastershipAction.Advertise(options.router(), state.priority()),
+        new MastershipAction.Advertise(options, state.priority()),
         new MastershipAction.Acquire(options.router(), reason));
   }
 
@@ -247,7 +247,7 @@
             .withPriority(state.priority(), now.plus(backoff));
     return new Transition(
         next.withTimerExpiry(now.plus(backoff).plus(activeDownInterval(next))),
-        new MastershipAction.Advertise(options.router(), Advertisement.RESIGNATION_PRIORITY),
+        new MastershipAction.Advertise(options, Advertisement.RESIGNATION_PRIORITY),
         new MastershipAction.Release(options.router(), TransitionReason.UNABLE));
   }
 
@@ -272,7 +272,7 @@
       next =
           next.withActiveInterval(options.advertisementInterval())
               .withAdvertisement(now, now.plus(options.advertisementInterval()));
-      actions.add(new MastershipAction.Advertise(options.router(), priority));
+      actions.add(new MastershipAction.Advertise(options, priority));
     } else if (state.role() == Role.BACKUP) {
       Timestamp expiry =
           now.plus(activeDownInterval(next.withActiveInterval(options.advertisementInterval())));
--- a/src/main/java/cobaltseam/service/DispatcherService.java
+++ b/src/main/java/cobaltseam/service/DispatcherService.java
@@ -64,7 +64,7 @@
   private static final int DISABLED_WRITE_TIMEOUT_S = 0;
 
   /** Null unless virtual addresses are enabled. */
-  private VirtualAddressService virtualAddresses;
+  VirtualAddressService virtualAddresses;
 
   /** Null unless the fleet is enabled. */
   private FleetService fleet;
--- a/src/main/java/cobaltseam/service/VirtualAddressService.java
+++ b/src/main/java/cobaltseam/service/VirtualAddressService.java
@@ -381,7 +381,7 @@
   private void advertise(MastershipAction.Advertise advertise) {
     boolean isResignation = advertise.priority() == Advertisement.RESIGNATION_PRIORITY;
     if (isResignation || listeners.isListening(advertise.router())) {
-      sender.send(mastership.options(advertise.router()), advertise.priority(), settings);
+      sender.send(advertise.options(), advertise.priority(), settings);
     }
   }
 
@@ -453,7 +453,7 @@
     fenceIfOverdue();
     RouterState state = mastership.state(router);
     if (state.role() == Role.ACTIVE) {
-      advertise(new MastershipAction.Advertise(router, state.priority()));
+      advertise(new MastershipAction.Advertise(mastership.options(router), state.priority()));
     }
   }
 
--- a/src/test/java/cobaltseam/mastership/MastershipTest.java
+++ b/src/test/java/cobaltseam/mastership/MastershipTest.java
@@ -45,9 +45,14 @@
     return mastership.state(ROUTER).role();
   }
 
+  /** Returns an advertisement of the router with this configured and this advertised priority. */
+  private static MastershipAction advertise(int configuredPriority, int priority) {
+    return new MastershipAction.Advertise(
+        options(1, configuredPriority, true, TimeSpan.ZERO), priority);
+  }
+
   private static List<MastershipAction> becomesActive(TransitionReason reason) {
-    return List.of(
-        new MastershipAction.Advertise(ROUTER, 100), new MastershipAction.Acquire(ROUTER, reason));
+    return List.of(advertise(100, 100), new MastershipAction.Acquire(ROUTER, reason));
   }
 
   private Mastership activeMastership() {
@@ -73,9 +78,7 @@
   void addressOwnerBecomesActiveAtOnceUnlessListenPeriodIsSet() {
     Mastership mastership = newMastership(options(1, 255, true, TimeSpan.ZERO));
     assertEquals(
-        List.of(
-            new MastershipAction.Advertise(ROUTER, 255),
-            new MastershipAction.Acquire(ROUTER, TransitionReason.OWNER)),
+        List.of(advertise(255, 255), new MastershipAction.Acquire(ROUTER, TransitionReason.OWNER)),
         mastership.start(now));
     Mastership withListenPeriod =
         new Mastership(
@@ -138,8 +141,7 @@
   void activeRouterYieldsOnlyToHigherPriorityOrAddress() {
     Mastership mastership = activeMastership();
     assertEquals(
-        List.of(new MastershipAction.Advertise(ROUTER, 100)),
-        mastership.onAdvertisement(LOWER, advertisement(100), now));
+        List.of(advertise(100, 100)), mastership.onAdvertisement(LOWER, advertisement(100), now));
     assertEquals(Role.ACTIVE, role(mastership));
     assertEquals(
         List.of(new MastershipAction.Release(ROUTER, TransitionReason.ADDRESS_HIGHER)),
@@ -192,9 +194,7 @@
   void stoppedActiveRouterResigns() {
     Mastership mastership = activeMastership();
     assertEquals(
-        List.of(
-            new MastershipAction.Advertise(ROUTER, 0),
-            new MastershipAction.Release(ROUTER, TransitionReason.ENDED)),
+        List.of(advertise(100, 0), new MastershipAction.Release(ROUTER, TransitionReason.ENDED)),
         mastership.stop(TransitionReason.ENDED, now));
     assertEquals(List.of(), mastership.onAdvertisement(LOWER, advertisement(1), now));
     assertEquals(List.of(), advanceTime(mastership, 60));
@@ -224,11 +224,9 @@
   void reducedPriorityIsAdvertisedAndAtLeastOne() {
     Mastership mastership = activeMastership();
     mastership.setPriorityReduction(30, now);
-    assertEquals(
-        List.of(new MastershipAction.Advertise(ROUTER, 70)),
-        advanceTime(mastership, 1).subList(0, 1));
+    assertEquals(List.of(advertise(100, 70)), advanceTime(mastership, 1).subList(0, 1));
     mastership.setPriorityReduction(200, now);
-    assertEquals(new MastershipAction.Advertise(ROUTER, 1), advanceTime(mastership, 1).get(0));
+    assertEquals(advertise(100, 1), advanceTime(mastership, 1).get(0));
     assertEquals(
         List.of(new MastershipAction.Release(ROUTER, TransitionReason.HIGHER_HEARD)),
         mastership.onAdvertisement(LOWER, advertisement(50), now));
@@ -250,16 +248,14 @@
             Set.of(LOWER),
             3,
             now);
-    assertEquals(List.of(new MastershipAction.Advertise(ROUTER, 180)), actions);
+    assertEquals(List.of(advertise(180, 180)), actions);
     assertEquals(List.of(ROUTER, new VirtualRouterId(2, false)), mastership.routers());
     assertEquals(
         List.of(), mastership.onAdvertisement(HIGHER, advertisement(255), now), "no longer a peer");
     actions =
         mastership.reconfigure(List.of(options(2, 90, true, TimeSpan.ZERO)), Set.of(LOWER), 3, now);
     assertEquals(
-        List.of(
-            new MastershipAction.Advertise(ROUTER, 0),
-            new MastershipAction.Release(ROUTER, TransitionReason.REMOVED)),
+        List.of(advertise(180, 0), new MastershipAction.Release(ROUTER, TransitionReason.REMOVED)),
         actions);
     assertFalse(mastership.canAdmit(ROUTER, now));
   }
--- a/src/test/java/cobaltseam/service/VirtualAddressServiceFaultTest.java
+++ b/src/test/java/cobaltseam/service/VirtualAddressServiceFaultTest.java
@@ -71,6 +71,53 @@
     return SettingsReader.read(file).virtualAddresses();
   }
 
+  /** Returns the settings of {@link #settings} with a second router beside the first. */
+  private Settings.VirtualAddressSettings withSecondRouter() throws IOException {
+    Path file = folder.resolve("own.toml");
+    InetSocketAddress secondAddress;
+    try (ServerSocket tcp = new ServerSocket(0, 1, InetAddress.getByName("127.0.78.1"))) {
+      secondAddress = (InetSocketAddress) tcp.getLocalSocketAddress();
+    }
+    String second =
+        ", {id = 2, interval_ms = 50, addresses = [\"192.0.2.11\"], serve = \"127.0.78.1:%d\"}]"
+            .formatted(secondAddress.getPort());
+    Files.writeString(file, Files.readString(file).replace("}]", "}" + second));
+    return SettingsReader.read(file).virtualAddresses();
+  }
+
+  /** Guards against a reload that removes an active router and ends mastership for all others. */
+  @Test
+  void removalOfAnActiveRouterKeepsTheOthersActive() throws Exception {
+    try (EmulatedEngine engine = new EmulatedEngine("127.0.0.1", p -> 5);
+        EmulatedDiscovery bus = new EmulatedDiscovery("127.0.0.1")) {
+      Settings.VirtualAddressSettings withoutSecond = settings();
+      Settings.VirtualAddressSettings withSecond = withSecondRouter();
+      InetSocketAddress kept = withSecond.routers().get(0).serviceAddress();
+      InetSocketAddress removed = withSecond.routers().get(1).serviceAddress();
+      DispatcherService service = new DispatcherService(configuration(engine, bus));
+      service.enableVirtualAddresses(withSecond);
+      service.open();
+      Thread loop = startLoop(service);
+      VirtualAddressServiceTest.connect(kept).close();
+      VirtualAddressServiceTest.connect(removed).close();
+      CountDownLatch reconfigured = new CountDownLatch(1);
+      service.inbox.post(
+          null,
+          () -> {
+            service.virtualAddresses.reconfigure(withoutSecond);
+            reconfigured.countDown();
+          });
+      reconfigured.await();
+      try (StatementClient client = VirtualAddressServiceTest.connect(kept)) {
+        assertEquals("on", client.show("mastership").get("mastership"));
+        assertEquals("0", client.show("counters").get("faults"));
+      }
+      loop.interrupt();
+      loop.join();
+      service.close();
+    }
+  }
+
   private static Thread startLoop(DispatcherService service) {
     Thread loop =
         new Thread(
