Tests: a stall begins before the attempt it is about can time out, also on a busy machine

Its log: "attempt 0 ... ended after 438 ms: timed_out", before the event loop was held up at all, which takes 1,000 ms and would show so. The test's thread was late by more than the 438 ms that an attempt of 100 ms work has.

The assertions are as they were. With the reading of unread input and the order of tasks and timers taken out of EventLoop (scratch copy) both fail.

--- a/src/test/java/cobaltseam/service/EngineAnswersTest.java
+++ b/src/test/java/cobaltseam/service/EngineAnswersTest.java
@@ -12,6 +12,21 @@
  * the process is stalled.
  */
 class EngineAnswersTest extends ServiceRig {
+  private static final int LONG_DEADLINE_MS = 20_000;
+
+  /** How much longer than the timeout of its attempt a service is stalled. */
+  private static final int OVERDUE_MS = 500;
+
+  private static String withLongDeadline(String configuration) {
+    return configuration.replace("\"hard_limit_us\":3000000", "\"hard_limit_us\":60000000");
+  }
+
+  /** Returns the time after which the attempt of a request times out, in milliseconds. */
+  private static int timeToLiveMs(Message pull) {
+    String fields = pull.items().get(2);
+    return Integer.parseInt(fields.substring(fields.indexOf("ttl=") + "ttl=".length()));
+  }
+
   @Test
   void allPagesOfResultReachClient() throws Exception {
     EmulatedPeer engine = new EmulatedPeer(true);
@@ -106,13 +121,13 @@
   @Test
   void postedAnswersAreProcessedBeforeOverdueTimeout() throws Exception {
     EmulatedPeer engine = new EmulatedPeer(true);
-    start(engine);
-    TestClient client = new TestClient(statement("look", 1, 3000));
+    start(EngineAnswersTest::withLongDeadline, SOCKETS, IDLE_MS, engine.address());
+    TestClient client = new TestClient(idempotentStatement(1, LONG_DEADLINE_MS));
     Message pull = engine.next("PULL");
     CountDownLatch release = blockEventLoop();
     pull.answer(pull.id(), "200", "pages=1", ROWS);
-    // Longer than the timeout of an attempt: the duration itself is tested.
-    Thread.sleep(1000);
+    // Longer than the timeout of the attempt: the duration itself is tested.
+    Thread.sleep(timeToLiveMs(pull) + OVERDUE_MS);
     release.countDown();
     assertEquals("SELECT 2", client.readReplies().get(2));
     assertTrue(engine.received.isEmpty(), "abandoned although its answer had arrived");
@@ -125,14 +140,14 @@
   @Test
   void unreadAnswersAreReadBeforeOverdueTimeout() throws Exception {
     EmulatedPeer engine = new EmulatedPeer(true);
-    start(engine);
-    TestClient client = new TestClient(statement("look", 1, 3000));
+    start(EngineAnswersTest::withLongDeadline, SOCKETS, IDLE_MS, engine.address());
+    TestClient client = new TestClient(idempotentStatement(1, LONG_DEADLINE_MS));
     Message pull = engine.next("PULL");
     CountDownLatch release = blockEventLoop();
     CountDownLatch releaseIoThread = blockIoThread();
     pull.answer(pull.id(), "200", "pages=1", ROWS);
-    // Longer than the timeout of an attempt: the duration itself is tested.
-    Thread.sleep(1000);
+    // Longer than the timeout of the attempt: the duration itself is tested.
+    Thread.sleep(timeToLiveMs(pull) + OVERDUE_MS);
     release.countDown();
     awaitEventLoopTurn();
     releaseIoThread.countDown();
