Keep a connection that is receiving a request open until the request is answered

Cause: a connection counted as idle unless a complete message had been received; only a shutdown that had already begun spared a client in the middle of a message, and it begins 0.7 s after a resignation. Checked on: end of stream 184 ms before the last byte; at the own address, which is not released, the same request is refused with 57P03. A connection that had not yet sent its first statement was closed in the same way.

Change: such connections stay until the request is answered, 2 s pass without input, or the shutdown stops waiting; the check on the I/O thread counts every byte received.

--- a/src/main/java/cobaltseam/service/ClientConnections.java
+++ b/src/main/java/cobaltseam/service/ClientConnections.java
@@ -1,6 +1,7 @@
 package cobaltseam.service;
 
 import cobaltseam.dispatch.TimeSpan;
+import cobaltseam.dispatch.Timestamp;
 import cobaltseam.logging.Field;
 import cobaltseam.postgres.ServerMessageWriter;
 import cobaltseam.service.Counters.Count;
@@ -28,6 +29,9 @@
   /** A client that sends no complete statement for this long is evicted; in microseconds. */
   private static final TimeSpan FIRST_STATEMENT_TIMEOUT_US = new TimeSpan(2_000_000);
 
+  /** A client that sends no more of an incomplete message for this long counts as idle. */
+  private static final TimeSpan MESSAGE_TIMEOUT_US = new TimeSpan(2_000_000);
+
   private final ClientInput input;
   private final RequestTable requests;
   private final RandomGenerator cancelSecrets;
@@ -154,7 +158,9 @@
   }
 
   private void evictIdle() {
-    ClientSession candidate = idleClients.evictionCandidate();
+    Timestamp now = clock.now();
+    ClientSession candidate =
+        idleClients.evictionCandidate(client -> client.isSendingMessage(now, MESSAGE_TIMEOUT_US));
     if (candidate != null) {
       counters.add(Count.CLIENTS_GAVE_WAY);
       evict(candidate);
@@ -162,9 +168,9 @@
   }
 
   /**
-   * Closes an idle connection unless a complete message is received in the meantime, since every
-   * statement that was read has to be answered. Sends no message first: the client could take it
-   * for the answer to a statement that it has just sent.
+   * Closes an idle connection unless input is received in the meantime, since every statement that
+   * is received completely has to be answered. Sends no message first: the client could take it for
+   * the answer to a statement that it has just sent.
    */
   private void evict(ClientSession client) {
     if (client.isEvicting || !isOpen(client)) {
@@ -174,10 +180,15 @@
     evictingClients++;
     idleClients.update(client, false);
     int processedMessages = client.postedMessages - client.unprocessedMessages.get();
+    int receivedBytes = client.receivedBytes;
+    boolean wasInMessage = client.parser.isInMessage();
     WriteFuture lastWrite = client.lastWrite;
     sockets.runAfterReading(
         () -> {
-          boolean hasStayedIdle = client.postedMessages == processedMessages;
+          boolean hasStayedIdle =
+              client.postedMessages == processedMessages
+                  && client.receivedBytes == receivedBytes
+                  && (wasInMessage || !client.parser.isInMessage());
           if (hasStayedIdle) {
             // Ends the output here and now: later input is discarded, and the client that sent it
             // has to see the end of the connection soon afterwards.
@@ -232,6 +243,7 @@
     if (isOpen(client)) {
       counters.add(Count.CLIENTS_CLOSED);
       timers.cancel(client.closeTimer);
+      timers.cancel(client.messageTimer);
       slots.free(client.slotKey);
       evictingClients -= client.isEvicting ? 1 : 0;
       idleClients.update(client, false);
@@ -278,18 +290,41 @@
         });
   }
 
-  /** Closes a connection that is marked to be closed, if no answer is pending on it. */
+  /**
+   * Closes a connection that is marked to be closed, if no answer is pending on it. A client that
+   * has not sent its first statement or is in the middle of a message may send it first, and gets
+   * an answer, unless its timeout expires or the shutdown no longer waits.
+   */
   void closeIfIdle(ClientSession client) {
-    if (client.closeWhenIdle
-        && !client.isBusy
-        && client.pendingMessages.isEmpty()
-        && isOpen(client)) {
-      if (isShutdownForced) {
-        close(client);
-      } else if (!isShuttingDown || !client.parser.isInMessage()) {
-        evict(client);
-      }
+    if (!client.closeWhenIdle
+        || client.isBusy
+        || !client.pendingMessages.isEmpty()
+        || !isOpen(client)) {
+      return;
     }
+    if (isShutdownForced) {
+      close(client);
+    } else if (client.statementCount > 0 && !client.parser.isInMessage()) {
+      evict(client);
+    } else if (client.statementCount > 0 && client.messageTimer == null) {
+      startMessageTimeout(client);
+    }
+  }
+
+  /** Starts the timeout for the rest of a message, which starts again while more is received. */
+  private void startMessageTimeout(ClientSession client) {
+    int receivedBytesAtStart = client.receivedBytes;
+    client.messageTimer =
+        timers.set(
+            clock.now().plus(MESSAGE_TIMEOUT_US),
+            () -> {
+              client.messageTimer = null;
+              if (client.receivedBytes != receivedBytesAtStart) {
+                closeIfIdle(client);
+              } else if (!client.isBusy) {
+                evict(client);
+              }
+            });
   }
 
   /**
--- a/src/main/java/cobaltseam/service/ClientInput.java
+++ b/src/main/java/cobaltseam/service/ClientInput.java
@@ -89,6 +89,7 @@
     }
     Timestamp readAt = sockets.arrivalTime();
     client.receivedBytes += input.remaining();
+    client.lastReceivedAt = readAt;
     client.parser.parse(input.buf(), clientMessage -> post(client, clientMessage, readAt));
     updateParserBytes(client, client.parser.bufferBytes());
     if (client.isFlooding) {
--- a/src/main/java/cobaltseam/service/ClientReplies.java
+++ b/src/main/java/cobaltseam/service/ClientReplies.java
@@ -56,11 +56,14 @@
         .errorResponse(severity, ServerMessageWriter.SQLSTATE_CANNOT_CONNECT_NOW, SHUTTING_DOWN);
   }
 
-  /** Rejects a statement at an address where another dispatcher is active. */
-  static ServerMessageWriter notActive(TimeSpan retryAfter) {
+  /**
+   * Rejects a statement, or with severity FATAL a connection, at an address where another
+   * dispatcher is active.
+   */
+  static ServerMessageWriter notActive(String severity, TimeSpan retryAfter) {
     return new ServerMessageWriter()
         .errorResponse(
-            "ERROR",
+            severity,
             ServerMessageWriter.SQLSTATE_CANNOT_CONNECT_NOW,
             "another dispatcher is active here, trying again is harmless"
                 + retryAdvice(retryAfter));
--- a/src/main/java/cobaltseam/service/ClientSession.java
+++ b/src/main/java/cobaltseam/service/ClientSession.java
@@ -79,12 +79,18 @@
    */
   Timers.Timer closeTimer;
 
+  /** The timeout for the rest of a message, on a connection that closes after its answer. */
+  Timers.Timer messageTimer;
+
   /** Whether the output has ended; further input is discarded. */
   volatile boolean outputEnded;
 
   /** The number of bytes received, modulo 2^32; written by the I/O thread. */
   volatile int receivedBytes;
 
+  /** When bytes were received last, or null; written by the I/O thread. */
+  volatile Timestamp lastReceivedAt;
+
   /** Bytes discarded since the output ended; owned by the I/O thread. */
   int discardedBytes;
 
@@ -138,6 +144,14 @@
     return session.isClosing() || listener.isCancelPending(this);
   }
 
+  /** Whether the client has sent a part of a message, and some of it within this time. */
+  boolean isSendingMessage(Timestamp now, TimeSpan within) {
+    Timestamp lastReceived = lastReceivedAt;
+    return parser.isInMessage()
+        && lastReceived != null
+        && now.since(lastReceived).compareTo(within) < 0;
+  }
+
   /** Whether a cancel request names this session and has its secret. */
   boolean isTargetOf(ClientMessage.Cancel cancel) {
     return (int) slotKey == cancel.session() && cancelSecret == cancel.secret();
--- a/src/main/java/cobaltseam/service/ClientSessions.java
+++ b/src/main/java/cobaltseam/service/ClientSessions.java
@@ -139,13 +139,16 @@
 
   @Override
   public void opened(ClientSession client) {
-    boolean isAdded = connections.add(client);
-    if (isAdded && gate != null && !gate.keepsSessions(client.session.getLocalAddress())) {
+    if (connections.add(client) && !keepsSession(client)) {
       client.closeWhenIdle = true;
-      connections.closeIfIdle(client);
     }
   }
 
+  /** Whether this dispatcher serves the local address of a client's connection. */
+  private boolean keepsSession(ClientSession client) {
+    return gate == null || gate.keepsSessions(client.session.getLocalAddress());
+  }
+
   @Override
   public void closed(ClientSession client) {
     connections.closed(client);
@@ -224,6 +227,11 @@
     if (connections.isShuttingDown()) {
       connections.write(client, ClientReplies.shuttingDown("FATAL"));
       connections.close(client);
+    } else if (!keepsSession(client)) {
+      counters.add(Count.MASTERSHIP_TURNED_AWAY);
+      TimeSpan retryAfter = gate.retryAfter(client.session.getLocalAddress());
+      connections.write(client, ClientReplies.notActive("FATAL", retryAfter));
+      connections.close(client);
     } else {
       connections.write(
           client,
@@ -287,7 +295,7 @@
     if (gate != null && !gate.admits(localAddress)) {
       counters.add(Count.MASTERSHIP_TURNED_AWAY);
       connections.write(
-          client, ClientReplies.notActive(gate.retryAfter(localAddress)).readyForQuery());
+          client, ClientReplies.notActive("ERROR", gate.retryAfter(localAddress)).readyForQuery());
       return;
     }
     Statement statement;
--- a/src/main/java/cobaltseam/service/IdleClients.java
+++ b/src/main/java/cobaltseam/service/IdleClients.java
@@ -1,7 +1,9 @@
 package cobaltseam.service;
 
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Clients without an open statement, ordered by how long they have been idle; selects the one to
@@ -42,17 +44,21 @@
    * Returns the client to evict, or null if none is idle. Clients that never sent a statement are
    * evicted first while they hold more than half of the connections. Otherwise clients with one
    * statement are evicted before those with more, since a client that reuses its connection does so
-   * soon; clients without a statement come last.
+   * soon; clients without a statement come last. A client that is sending a message is evicted only
+   * if there is no other.
+   *
+   * @param isSending whether a client is sending a message
    */
-  ClientSession evictionCandidate() {
-    Set<ClientSession> candidates = withoutStatement;
-    if (withoutStatement.size() <= maxClients / 2) {
-      if (!withOneStatement.isEmpty()) {
-        candidates = withOneStatement;
-      } else if (!withMoreStatements.isEmpty()) {
-        candidates = withMoreStatements;
-      }
-    }
-    return candidates.isEmpty() ? null : candidates.iterator().next();
+  ClientSession evictionCandidate(Predicate<ClientSession> isSending) {
+    List<Set<ClientSession>> groups =
+        withoutStatement.size() > maxClients / 2
+            ? List.of(withoutStatement)
+            : List.of(withOneStatement, withMoreStatements, withoutStatement);
+    return groups.stream()
+        .flatMap(Set::stream)
+        .filter(isSending.negate())
+        .findFirst()
+        .or(() -> groups.stream().flatMap(Set::stream).findFirst())
+        .orElse(null);
   }
 }
--- a/src/test/java/cobaltseam/service/ClientSessionsTest.java
+++ b/src/test/java/cobaltseam/service/ClientSessionsTest.java
@@ -175,6 +175,25 @@
     newConnection.close();
   }
 
+  /** Guards against the eviction of a client that is sending a statement while others are idle. */
+  @Test
+  void connectionInTheMiddleOfAStatementIsNotEvicted() throws Exception {
+    EmulatedPeer engine = new EmulatedPeer(true);
+    start(16, IDLE_MS, engine);
+    TestClient sending = new TestClient();
+    assertEquals(List.of("empty"), sending.execute(""));
+    byte[] statement = queryMessage(idempotentStatement(1, 10_000));
+    sending.out.write(statement, 0, 30);
+    awaitRead();
+    for (int i = 0; i < 6; i++) {
+      assertEquals(List.of("empty"), new TestClient().execute(""));
+    }
+    sending.out.write(statement, 30, statement.length - 30);
+    Message pull = engine.next("PULL");
+    pull.answer(pull.id(), "200", "pages=1", ROWS);
+    assertEquals("SELECT 2", sending.readReplies().get(2));
+  }
+
   @Test
   void connectionsWithoutAStatementAreEvictedAndTimeOut() throws Exception {
     EmulatedPeer engine = new EmulatedPeer(true);
--- a/src/test/java/cobaltseam/service/VirtualAddressServiceFaultTest.java
+++ b/src/test/java/cobaltseam/service/VirtualAddressServiceFaultTest.java
@@ -39,7 +39,7 @@
 
   @TempDir Path folder;
 
-  private static ServiceConfiguration configuration(EmulatedEngine engine, EmulatedDiscovery bus)
+  static ServiceConfiguration configuration(EmulatedEngine engine, EmulatedDiscovery bus)
       throws IOException {
     String endpointEvents =
         bus.publish(true, EmulatedDiscovery.endpointJson(1, engine.address(), "in_service"));
@@ -50,7 +50,7 @@
   }
 
   /** Settings with one virtual router and no peers, on free ports. */
-  private Settings.VirtualAddressSettings settings() throws IOException {
+  static Settings.VirtualAddressSettings settings(Path folder) throws IOException {
     InetSocketAddress serviceAddress;
     InetSocketAddress advertisements;
     try (ServerSocket tcp = new ServerSocket(0, 1, InetAddress.getByName("127.0.78.1"));
@@ -71,7 +71,7 @@
     return SettingsReader.read(file).virtualAddresses();
   }
 
-  /** Returns the settings of {@link #settings} with a second router beside the first. */
+  /** Returns the settings of {@link #settings(Path)} with a second router beside the first. */
   private Settings.VirtualAddressSettings withSecondRouter() throws IOException {
     Path file = folder.resolve("own.toml");
     InetSocketAddress secondAddress;
@@ -90,7 +90,7 @@
   void removalOfAnActiveRouterKeepsTheOthersActive() throws Exception {
     try (EmulatedEngine engine = new EmulatedEngine("127.0.0.1", p -> 5);
         EmulatedDiscovery bus = new EmulatedDiscovery("127.0.0.1")) {
-      Settings.VirtualAddressSettings withoutSecond = settings();
+      Settings.VirtualAddressSettings withoutSecond = settings(folder);
       Settings.VirtualAddressSettings withSecond = withSecondRouter();
       InetSocketAddress kept = withSecond.routers().get(0).serviceAddress();
       InetSocketAddress removed = withSecond.routers().get(1).serviceAddress();
@@ -118,7 +118,7 @@
     }
   }
 
-  private static Thread startLoop(DispatcherService service) {
+  static Thread startLoop(DispatcherService service) {
     Thread loop =
         new Thread(
             () -> {
@@ -170,7 +170,7 @@
   void requestReceivedWhileTheRouterIsFencedIsRejected() throws Exception {
     try (EmulatedEngine engine = new EmulatedEngine("127.0.0.1", p -> 600);
         EmulatedDiscovery bus = new EmulatedDiscovery("127.0.0.1")) {
-      Settings.VirtualAddressSettings settings = settings();
+      Settings.VirtualAddressSettings settings = settings(folder);
       InetSocketAddress serviceAddress = settings.routers().get(0).serviceAddress();
       DispatcherService service = new DispatcherService(configuration(engine, bus));
       service.enableVirtualAddresses(settings);
@@ -205,7 +205,7 @@
     try (EmulatedEngine engine = new EmulatedEngine("127.0.0.1", p -> 600);
         EmulatedDiscovery bus = new EmulatedDiscovery("127.0.0.1")) {
       AtomicBoolean isFailing = new AtomicBoolean();
-      Settings.VirtualAddressSettings settings = settings();
+      Settings.VirtualAddressSettings settings = settings(folder);
       InetSocketAddress serviceAddress = settings.routers().get(0).serviceAddress();
       DispatcherService service = new DispatcherService(configuration(engine, bus));
       service.enableVirtualAddresses(
