Process clients' messages in turn and leave flooded connections open until then

Cause: the I/O thread closed a broken connection at 256 KB of further input while its messages still waited for the event loop, so the client reconnected and had more wait, without a bound; and all messages of one read ran before the next client's. Ruled out: the other kinds of message in the same flood (6 to 17 ms behind).

Change: a broken client is read again only once its messages are processed; the event loop has one task for each client.

Tests: both new tests of PeerFloodTest fail on (0 open connections in place of 1; one task for each message in place of two).

--- a/src/main/java/cobaltseam/service/ClientInput.java
+++ b/src/main/java/cobaltseam/service/ClientInput.java
@@ -98,6 +98,33 @@
         && client.parser.bufferBytes() > MAX_EXEMPT_BYTES) {
       rejectFurtherInput(client, "too much is held for all clients", readAt);
     }
+    if (client.parser.isBroken()) {
+      suspendRead(client);
+    }
+  }
+
+  /**
+   * Reads no more from a client whose connection will be closed, until the event loop has processed
+   * its earlier messages. Otherwise a client could have its connection closed for its further
+   * input, connect again, and so have any number of messages wait for the event loop.
+   */
+  private static void suspendRead(ClientSession client) {
+    client.isReadSuspended = true;
+    client.session.suspendRead();
+  }
+
+  /**
+   * Reads from a client again, to discard the input and to see the end of the connection; called on
+   * the event-loop thread.
+   */
+  void resumeRead(ClientSession client) {
+    sockets.runBeforeSelect(
+        () -> {
+          if (client.isReadSuspended) {
+            client.isReadSuspended = false;
+            client.session.resumeRead();
+          }
+        });
   }
 
   /**
@@ -124,14 +151,7 @@
     ReceivedMessage received = new ReceivedMessage(message, readAt);
     client.postedMessages++;
     bufferedBytes.addAndGet(received.sizeBytes());
-    Runnable post =
-        () ->
-            inbox.post(
-                client.session,
-                () -> {
-                  client.unprocessedMessages.decrementAndGet();
-                  listener.received(client, received);
-                });
+    Runnable post = () -> enqueue(client, received);
     if (message instanceof ClientMessage.Cancel cancel) {
       pendingCancels.add(cancel);
       // The statement to cancel was written earlier on another connection, and has to be processed
@@ -144,6 +164,34 @@
     }
   }
 
+  private void enqueue(ClientSession client, ReceivedMessage received) {
+    client.inbox.add(received);
+    if (client.inboxSize.getAndIncrement() == 0) {
+      postNext(client);
+    }
+  }
+
+  /**
+   * Has the event loop process the next message of a client. The further ones are posted one after
+   * another, behind what other connections have posted meanwhile, so that a client with many
+   * messages does not delay all others.
+   */
+  private void postNext(ClientSession client) {
+    inbox.post(
+        client.session,
+        () -> {
+          ReceivedMessage received = client.inbox.remove();
+          client.unprocessedMessages.decrementAndGet();
+          try {
+            listener.received(client, received);
+          } finally {
+            if (client.inboxSize.decrementAndGet() > 0) {
+              postNext(client);
+            }
+          }
+        });
+  }
+
   /**
    * Parses nothing more from a client: posts a protocol error, at which the event loop closes the
    * connection.
--- a/src/main/java/cobaltseam/service/ClientSession.java
+++ b/src/main/java/cobaltseam/service/ClientSession.java
@@ -8,6 +8,8 @@
 import cobaltseam.resp.Result;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.mina.core.future.WriteFuture;
 import org.apache.mina.core.session.IoSession;
@@ -47,9 +49,15 @@
   /** Messages that wait until the open statement is answered. */
   final Deque<ReceivedMessage> pendingMessages = new ArrayDeque<>();
 
-  /** Messages that were posted to the event loop and are not processed yet. */
+  /** Messages that were read and are not processed yet. */
   final AtomicInteger unprocessedMessages = new AtomicInteger();
 
+  /** Messages for the event loop, which processes one of them a task. */
+  final Queue<ReceivedMessage> inbox = new ConcurrentLinkedQueue<>();
+
+  /** The number of messages in the inbox, including the one that is being processed. */
+  final AtomicInteger inboxSize = new AtomicInteger();
+
   /** The number of messages posted since the connection opened; written by the I/O thread. */
   volatile int postedMessages;
 
@@ -70,6 +78,9 @@
   /** Whether the client exceeded the limit of waiting messages; owned by the I/O thread. */
   boolean isFlooding;
 
+  /** Whether reading is suspended; owned by the I/O thread. */
+  boolean isReadSuspended;
+
   long slotKey = SlotTable.NONE;
   int cancelSecret;
 
--- a/src/main/java/cobaltseam/service/ClientSessions.java
+++ b/src/main/java/cobaltseam/service/ClientSessions.java
@@ -165,6 +165,9 @@
       client.session.closeNow();
       return;
     }
+    if (received.message() instanceof ClientMessage.Malformed) {
+      input.resumeRead(client);
+    }
     if (!connections.isOpen(client)) {
       if (received.sizeBytes() > 0) {
         counters.add(Count.STATEMENTS_UNHEARD);
--- a/src/test/java/cobaltseam/service/PeerFloodTest.java
+++ b/src/test/java/cobaltseam/service/PeerFloodTest.java
@@ -6,6 +6,7 @@
 import cobaltseam.service.Counters.Count;
 import cobaltseam.standin.RequestLedger.Outcome;
 import cobaltseam.standin.StatementClient;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketException;
@@ -23,6 +24,10 @@
   private static final int FLOODED_CONNECTIONS = 24;
   private static final int FLOOD_BYTES_PER_CONNECTION = 4 << 20;
   private static final int MEMORY_MB = 16;
+
+  /** More rounds of reading than it takes to read what closes a flooded connection. */
+  private static final int FLOOD_ROUNDS = 100;
+
   private static final int REPEATED_ANSWERS = 5000;
   private static final int DEADLINE_MS = 3000;
   private static final int WORK_MS = 100;
@@ -252,4 +257,45 @@
     pull.answer(pull.id(), "200", "pages=1", ROWS);
     assertEquals(Outcome.ANSWERED, client.awaitOutcome());
   }
+
+  /** Guards against many messages of one client that delay all others. */
+  @Test
+  void eventLoopProcessesOneMessageOfAClientAfterAnother() throws Exception {
+    start(new EmulatedPeer(true));
+    TestClient flooding = new TestClient();
+    TestClient other = new TestClient();
+    CountDownLatch resume = blockEventLoop();
+    ByteArrayOutputStream statements = new ByteArrayOutputStream();
+    for (int i = 0; i < 20; i++) {
+      statements.write(queryMessage("SHOW cobaltseam.counters"));
+    }
+    flooding.out.write(statements.toByteArray());
+    awaitRead();
+    other.writeQuery(other.out, "");
+    awaitRead();
+    assertEquals(2, service.inbox.size(), "one task for each client");
+    resume.countDown();
+    assertEquals(List.of("empty"), other.readReplies());
+    for (int i = 0; i < 20; i++) {
+      assertTrue(flooding.readReplies().contains("SHOW"));
+    }
+  }
+
+  /**
+   * Guards against a client whose flooded connection is closed before its messages are processed:
+   * it could connect again and have more and more messages wait for the event loop.
+   */
+  @Test
+  void floodedConnectionStaysOpenUntilItsMessagesAreProcessed() throws Exception {
+    start(new EmulatedPeer(true));
+    TestClient flooding = new TestClient();
+    CountDownLatch resume = blockEventLoop();
+    startDaemon(() -> flooding.out.write(new byte[FLOOD_BYTES_PER_CONNECTION]));
+    for (int round = 0; round < FLOOD_ROUNDS; round++) {
+      awaitRead();
+    }
+    assertEquals(1, service.acceptor.openConnections(), "the connection is open and not read");
+    resume.countDown();
+    assertEquals(List.of("empty"), new TestClient().execute(""));
+  }
 }
