Read a client's input to its end before its requests are sent to engines

Cause: a round of reading takes 16 KB of each connection, but the hand-over at its end and runAfterReading took the input for read completely.

Change: a read that fills its buffer marks the connection; its messages wait for the first round without the mark, tasks behind all input for up to 16 rounds. Statements of a client whose input is broken are not started. Complete messages that wait for the event loop count toward the memory limit.

--- a/src/main/java/cobaltseam/postgres/ClientParser.java
+++ b/src/main/java/cobaltseam/postgres/ClientParser.java
@@ -14,7 +14,7 @@
   static final int MAX_STARTUP_BYTES = 10_000;
 
   /** The maximum length of a message; the longest ones are statements with their comment. */
-  static final int MAX_MESSAGE_BYTES = 1 << 16;
+  public static final int MAX_MESSAGE_BYTES = 1 << 16;
 
   private static final int PROTOCOL_3_0 = 3 << 16;
   private static final int CANCEL_REQUEST_CODE = 1234 << 16 | 5678;
@@ -28,14 +28,17 @@
   private volatile int length;
 
   private boolean isStarted;
-  private boolean isBroken;
+  private volatile boolean isBroken;
 
   /** Returns the size of the buffer for incomplete messages, in bytes. */
   public int bufferBytes() {
     return buffer.length;
   }
 
-  /** Returns whether parsing has stopped, after a malformed message or {@link #fail}. */
+  /**
+   * Returns whether parsing has stopped, after a malformed message or {@link #fail}. May be called
+   * from any thread.
+   */
   public boolean isBroken() {
     return isBroken;
   }
--- a/src/main/java/cobaltseam/service/ClientInput.java
+++ b/src/main/java/cobaltseam/service/ClientInput.java
@@ -2,6 +2,7 @@
 
 import cobaltseam.dispatch.Timestamp;
 import cobaltseam.postgres.ClientMessage;
+import cobaltseam.postgres.ClientParser;
 import cobaltseam.service.ClientSession.ReceivedMessage;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -36,7 +37,8 @@
   private static final int MEMORY_PER_BUFFERED_BYTE = 32;
 
   /**
-   * A client whose incomplete message takes no more than this keeps its connection when the
+   * A client whose incomplete message takes no more than this, and whose complete ones that wait
+   * for the event loop take no more than one of the maximum length, keeps its connection when the
    * messages of all clients exceed their memory limit.
    */
   private static final int MAX_EXEMPT_BYTES = 4096;
@@ -94,8 +96,7 @@
     updateParserBytes(client, client.parser.bufferBytes());
     if (client.isFlooding) {
       rejectFurtherInput(client, "too many messages at once", readAt);
-    } else if (bufferedBytes.get() > maxBufferedBytes
-        && client.parser.bufferBytes() > MAX_EXEMPT_BYTES) {
+    } else if (bufferedBytes.get() > maxBufferedBytes && holdsTooMuch(client)) {
       rejectFurtherInput(client, "too much is held for all clients", readAt);
     }
     if (client.parser.isBroken()) {
@@ -103,6 +104,11 @@
     }
   }
 
+  private static boolean holdsTooMuch(ClientSession client) {
+    return client.parser.bufferBytes() > MAX_EXEMPT_BYTES
+        || client.unprocessedBytes.get() > ClientParser.MAX_MESSAGE_BYTES;
+  }
+
   /**
    * Reads no more from a client whose connection will be closed, until the event loop has processed
    * its earlier messages. Otherwise a client could have its connection closed for its further
@@ -150,17 +156,17 @@
     }
     ReceivedMessage received = new ReceivedMessage(message, readAt);
     client.postedMessages++;
+    client.unprocessedBytes.addAndGet(received.sizeBytes());
     bufferedBytes.addAndGet(received.sizeBytes());
-    Runnable post = () -> enqueue(client, received);
     if (message instanceof ClientMessage.Cancel cancel) {
       pendingCancels.add(cancel);
       // The statement to cancel was written earlier on another connection, and has to be processed
       // before its cancel request.
-      sockets.runAfterReading(post);
+      sockets.runAfterReading(() -> enqueue(client, received));
     } else {
-      // Delayed to the end of the round, when it is known whether the connection ended right behind
+      // Delayed until all input of the connection is read, when it is known whether it ended behind
       // this message: its client has then disconnected, possibly long ago.
-      sockets.runAtRoundEnd(post);
+      sockets.runWhenRead(client.session, () -> enqueue(client, received));
     }
   }
 
@@ -182,6 +188,7 @@
         () -> {
           ReceivedMessage received = client.inbox.remove();
           client.unprocessedMessages.decrementAndGet();
+          client.unprocessedBytes.addAndGet(-received.sizeBytes());
           try {
             listener.received(client, received);
           } finally {
--- a/src/main/java/cobaltseam/service/ClientSession.java
+++ b/src/main/java/cobaltseam/service/ClientSession.java
@@ -52,6 +52,9 @@
   /** Messages that were read and are not processed yet. */
   final AtomicInteger unprocessedMessages = new AtomicInteger();
 
+  /** Bytes of the statements among them. */
+  final AtomicInteger unprocessedBytes = new AtomicInteger();
+
   /** Messages for the event loop, which processes one of them a task. */
   final Queue<ReceivedMessage> inbox = new ConcurrentLinkedQueue<>();
 
--- a/src/main/java/cobaltseam/service/ClientSessions.java
+++ b/src/main/java/cobaltseam/service/ClientSessions.java
@@ -168,7 +168,9 @@
     if (received.message() instanceof ClientMessage.Malformed) {
       input.resumeRead(client);
     }
-    if (!connections.isOpen(client)) {
+    boolean isStatement = received.message() instanceof ClientMessage.Query;
+    // No more is read from a client whose input is broken, so that it may have disconnected.
+    if (!connections.isOpen(client) || isStatement && client.parser.isBroken()) {
       if (received.sizeBytes() > 0) {
         counters.add(Count.STATEMENTS_UNHEARD);
       }
--- a/src/main/java/cobaltseam/service/SocketProcessor.java
+++ b/src/main/java/cobaltseam/service/SocketProcessor.java
@@ -7,13 +7,17 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executor;
+import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.WriteFuture;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.nio.NioProcessor;
+import org.apache.mina.transport.socket.nio.NioSession;
 
 /**
  * The processor of the I/O thread that serves all sockets. It adds two functions to those of Apache
@@ -33,6 +37,12 @@
 
   private static final int US_PER_MS = 1000;
 
+  /**
+   * For how many rounds {@link #runAfterReading} waits at most while reads fill their buffers: a
+   * peer that never stops writing must not hold up its tasks.
+   */
+  private static final int MAX_HELD_BACK_ROUNDS = 16;
+
   /**
    * A time between two reads of all input that is longer than this shows that the process was
    * suspended or starved; in microseconds.
@@ -60,6 +70,12 @@
   /** Tasks that run after all input of the current select is read. */
   private List<Runnable> roundEndTasks = new ArrayList<>();
 
+  /** Connections whose read in the current round filled its buffer: more input may be unread. */
+  private final Set<IoSession> sessionsWithUnreadInput = new HashSet<>();
+
+  /** The number of rounds in a row for which {@link #tasksAfterSelect} were held back. */
+  private int heldBackRounds;
+
   SocketProcessor(Executor threads, Clock clock, Counters counters) {
     super(threads);
     this.clock = clock;
@@ -83,7 +99,8 @@
 
   /**
    * Runs a task on the I/O thread after all input that had arrived before this call is read and
-   * posted; thread-safe.
+   * posted, which takes several rounds for a connection with more unread input than one read takes,
+   * {@link #MAX_HELD_BACK_ROUNDS} at most; thread-safe.
    */
   void runAfterReading(Runnable task) {
     requestedTasks.add(task);
@@ -107,6 +124,23 @@
     roundEndTasks.add(task);
   }
 
+  /**
+   * Runs a task at the end of the first read round in which no read from a connection fills its
+   * buffer. All input that had arrived is read then, and whether the connection ended behind it is
+   * known. To be called on the I/O thread.
+   */
+  void runWhenRead(IoSession session, Runnable task) {
+    runAtRoundEnd(
+        () -> {
+          if (sessionsWithUnreadInput.contains(session)) {
+            wakeup();
+            runWhenRead(session, task);
+          } else {
+            task.run();
+          }
+        });
+  }
+
   /**
    * Shuts down the output of a connection as soon as all data written to it is sent, and continues
    * reading; thread-safe. Closing a socket with unread bytes would reset the connection, and the
@@ -156,12 +190,12 @@
     List<Runnable> endTasks = roundEndTasks;
     roundEndTasks = new ArrayList<>();
     endTasks.forEach(Runnable::run);
-    List<Runnable> dueTasks = tasksAfterSelect;
-    tasksAfterSelect = new ArrayList<>();
+    List<Runnable> dueTasks = takeDueTasks();
     for (Runnable task = requestedTasks.poll(); task != null; task = requestedTasks.poll()) {
       tasksAfterSelect.add(task);
     }
     dueTasks.forEach(Runnable::run);
+    sessionsWithUnreadInput.clear();
     // After the requested tasks were taken, so that each of these sees the effect of all immediate
     // tasks that were added before it.
     for (Runnable task = immediateTasks.poll(); task != null; task = immediateTasks.poll()) {
@@ -177,6 +211,30 @@
     return selected;
   }
 
+  /** Takes the tasks that were requested before the last select, unless input of it is unread. */
+  private List<Runnable> takeDueTasks() {
+    if (!sessionsWithUnreadInput.isEmpty()
+        && !tasksAfterSelect.isEmpty()
+        && heldBackRounds < MAX_HELD_BACK_ROUNDS) {
+      heldBackRounds++;
+      return List.of();
+    }
+    heldBackRounds = 0;
+    List<Runnable> dueTasks = tasksAfterSelect;
+    tasksAfterSelect = new ArrayList<>();
+    return dueTasks;
+  }
+
+  /** Reads from a connection, and records whether more of its input may be unread. */
+  @Override
+  protected int read(NioSession session, IoBuffer buffer) throws Exception {
+    int bytes = super.read(session, buffer);
+    if (bytes > 0 && !buffer.hasRemaining()) {
+      sessionsWithUnreadInput.add(session);
+    }
+    return bytes;
+  }
+
   private int selectUpTo(long timeout) throws Exception {
     if (tasksAfterSelect.isEmpty()) {
       return super.select(Math.min(timeout, MAX_WAIT_MS));
