Reject a call id that comes again after an engine may have run it

Cause: an id was refused only while its request was open, and a request whose client leaves is closed as soon as its attempt is cancelled.

--- a/src/main/java/cobaltseam/service/RequestTable.java
+++ b/src/main/java/cobaltseam/service/RequestTable.java
@@ -44,6 +44,7 @@
   private final FleetRetryLimit retryLimit;
   private final SlotTable<InFlightRequest> slots = new SlotTable<>(MAX_OPEN_REQUESTS);
   private final Map<RequestId, InFlightRequest> requestsById = new HashMap<>();
+  private final UsedCallIds usedCallIds = new UsedCallIds();
   private final EngineStartTimes engineStarts = new EngineStartTimes();
   private Timers.Timer nextStepTimer;
 
@@ -146,8 +147,12 @@
     if (reason != null) {
       return reason;
     }
-    boolean isOpen = requestsById.containsKey(new RequestId(statement.callId()));
-    return isOpen ? "a call that is in hand already" : null;
+    if (requestsById.containsKey(new RequestId(statement.callId()))) {
+      return "a call that is in hand already";
+    }
+    return usedCallIds.contains(statement.callId())
+        ? "a call id that was used before; its request may have run"
+        : null;
   }
 
   /**
@@ -279,6 +284,9 @@
     if (attempt.writePosition > 0) {
       request.usedConnections.add(attempt.connection);
     }
+    if (attempt.writePosition > 0 && !result.hasNeverRun()) {
+      usedCallIds.add(attempt.callId());
+    }
     publishLoad(attempt, now);
     ResponseHandle completed = null;
     if (result == AttemptResult.COMPLETED) {
