Take an engine whose address is given to another one for removed

Cause: addresses of the endpoint list were never compared, so that with a late or lost event both engines had the address; idle connections were chosen by engine, whatever address they were opened to.

Change: EndpointAddresses turns a replaced engine into a removed one; a connection knows its address and takes no attempt once the engine has another.

--- a/src/main/java/cobaltseam/service/EngineConnection.java
+++ b/src/main/java/cobaltseam/service/EngineConnection.java
@@ -5,6 +5,7 @@
 import cobaltseam.dispatch.Timestamp;
 import cobaltseam.resp.EngineCommands;
 import cobaltseam.resp.RespParser;
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -33,6 +34,10 @@
   private static final int MAX_UNWRITTEN_BYTES = 1 << 18;
 
   final EngineId engine;
+
+  /** The address that the engine had when this connection was opened. */
+  final InetSocketAddress address;
+
   final Timestamp openedAt;
 
   /** Parses the input of this connection. */
@@ -69,8 +74,9 @@
   private int unsolicitedAnswers;
   private int openHealthChecks;
 
-  EngineConnection(EngineId engine, Timestamp openedAt) {
+  EngineConnection(EngineId engine, InetSocketAddress address, Timestamp openedAt) {
     this.engine = engine;
+    this.address = address;
     this.openedAt = openedAt;
     receivedAt = openedAt;
     idleSince = openedAt;
--- a/src/main/java/cobaltseam/service/EngineConnectionPool.java
+++ b/src/main/java/cobaltseam/service/EngineConnectionPool.java
@@ -148,6 +148,7 @@
     if (address != null) {
       entry.address = address;
     }
+    closeIdleToEarlierAddress(entry);
     for (EngineConnection connection : List.copyOf(entry.connections)) {
       // A connection to an earlier incarnation of the engine may stay open without any answer.
       boolean isOutdated =
@@ -162,6 +163,16 @@
     }
   }
 
+  /** Closes connections to an earlier address of an engine, at which another one may be by now. */
+  private void closeIdleToEarlierAddress(EngineEntry entry) {
+    for (EngineConnection connection : List.copyOf(entry.connections)) {
+      boolean isUnused = connection.attempts.isEmpty() || connection.session == null;
+      if (isUnused && !connection.address.equals(entry.address)) {
+        drop(connection, CloseReason.ENDPOINT_CHANGED);
+      }
+    }
+  }
+
   /** Returns the number of engines that the endpoint list shows as in service. */
   int inServiceCount() {
     return (int) engines.values().stream().filter(entry -> entry.state == EndpointState.UP).count();
@@ -223,6 +234,7 @@
     List<EngineConnection> candidates =
         entry.connections.stream()
             .filter(connection -> !excluded.contains(connection))
+            .filter(connection -> connection.address.equals(entry.address))
             .filter(connection -> connection.canAccept(callId, maxAttemptsPerConnection))
             .toList();
     EngineConnection idle = mostRecentlyUsedIdle(candidates);
@@ -284,7 +296,7 @@
 
   /** Opens a connection; returns null if no more connections may be open. */
   private EngineConnection open(EngineEntry entry, EngineId engine, Timestamp now) {
-    EngineConnection connection = new EngineConnection(engine, now);
+    EngineConnection connection = new EngineConnection(engine, entry.address, now);
     connection.key = connections.add(connection);
     if (connection.key == SlotTable.NONE) {
       return null;
@@ -297,24 +309,25 @@
               connection.future.cancel();
               connectFailed(connection);
             });
-    connect(connection, entry.address);
+    connect(connection);
     return connection;
   }
 
-  private void connect(EngineConnection connection, InetSocketAddress address) {
+  private void connect(EngineConnection connection) {
     connection.future =
-        connector.connect(address, (session, future) -> EngineInput.attach(session, connection));
+        connector.connect(
+            connection.address, (session, future) -> EngineInput.attach(session, connection));
     connection.future.addListener(
-        (ConnectFuture future) -> inbox.post(null, () -> connectEnded(connection, address)));
+        (ConnectFuture future) -> inbox.post(null, () -> connectEnded(connection)));
   }
 
-  private void connectEnded(EngineConnection connection, InetSocketAddress address) {
+  private void connectEnded(EngineConnection connection) {
     if (!isOpen(connection)) {
       if (connection.future.isConnected()) {
         connection.future.getSession().closeNow();
       }
     } else if (isLocalFailure(connection.future.getException())) {
-      connectAgain(connection, address);
+      connectAgain(connection);
     } else if (!connection.future.isConnected()) {
       connection.connectBackoff = null;
       connectFailed(connection);
@@ -341,13 +354,13 @@
   }
 
   /** Connects again after a pause, unless the connect timeout ends the connection before. */
-  private void connectAgain(EngineConnection connection, InetSocketAddress address) {
+  private void connectAgain(EngineConnection connection) {
     counters.add(Count.ENGINE_CONNECTS_REPEATED);
     TimeSpan last = connection.connectBackoff;
     connection.connectBackoff =
         last == null ? MIN_CONNECT_BACKOFF_US : last.times(2).min(MAX_CONNECT_BACKOFF_US);
     connection.connectRetryTimer =
-        timers.set(clock.now().plus(connection.connectBackoff), () -> connect(connection, address));
+        timers.set(clock.now().plus(connection.connectBackoff), () -> connect(connection));
   }
 
   private void connectFailed(EngineConnection connection) {
@@ -370,13 +383,15 @@
 
   /**
    * Records that a connection has no more attempts, and closes it if its engine was removed from
-   * the endpoint list.
+   * the endpoint list or has got another address.
    */
   void becameIdle(EngineConnection connection, Timestamp now) {
     connection.idleSince = now;
     EngineEntry entry = engines.get(connection.engine);
     if (entry != null && entry.state == EndpointState.REMOVED) {
       drop(connection, CloseReason.ENDPOINT_REMOVED);
+    } else if (entry != null && !connection.address.equals(entry.address)) {
+      drop(connection, CloseReason.ENDPOINT_CHANGED);
     }
   }
 
--- a/src/main/java/cobaltseam/service/RequestTable.java
+++ b/src/main/java/cobaltseam/service/RequestTable.java
@@ -45,6 +45,7 @@
   private final SlotTable<InFlightRequest> slots = new SlotTable<>(MAX_OPEN_REQUESTS);
   private final Map<RequestId, InFlightRequest> requestsById = new HashMap<>();
   private final UsedCallIds usedCallIds = new UsedCallIds();
+  private final EndpointAddresses endpointAddresses = new EndpointAddresses();
   private final EngineStartTimes engineStarts = new EngineStartTimes();
   private Timers.Timer nextStepTimer;
 
@@ -124,7 +125,9 @@
   /** Applies a change of the endpoint list, or the complete list. */
   void updateEndpoints(WatchEvent listed) {
     Timestamp now = clock.now();
-    WatchEvent event = engineStarts.translate(listed, now, Clock.wallNow());
+    WatchEvent event =
+        endpointAddresses.withReplacedEnginesRemoved(
+            engineStarts.translate(listed, now, Clock.wallNow()));
     engines.updateEndpoints(event);
     dispatcher.updateEndpoints(event.endpoints(), event.isComplete(), now);
     isNextStepDue = true;
