Accept the connections that wait when their listener closes

Cause: the close of a listening socket resets its queue. Evidence: BoundedAcceptorTest on ends in 'Connection reset' with the acceptor's thread held while four connections come.

Change: the acceptor takes what waits before it closes a listener, an eighth of the limit at most.

--- a/src/main/java/cobaltseam/service/BoundedAcceptor.java
+++ b/src/main/java/cobaltseam/service/BoundedAcceptor.java
@@ -25,6 +25,10 @@
    */
   private static final int FAILED_ACCEPT_PAUSE_MS = 2;
 
+  /** The ratio of the maximum number of connections to those that a closing listener accepts. */
+  private static final int CONNECTIONS_PER_QUEUED = 8;
+
+  private final IoProcessor<NioSession> processor;
   private final Object connectionsChanged = new Object();
   private final int maxOpen;
   private int openConnections;
@@ -42,6 +46,7 @@
       Clock clock,
       Counters counters) {
     super(executor, processor);
+    this.processor = processor;
     this.maxOpen = maxOpen;
     this.counters = counters;
     log = new RateLimitedLog(System.getLogger(BoundedAcceptor.class.getName()), clock);
@@ -56,7 +61,10 @@
         connectionsChanged.wait(MAX_WAIT_MS);
       }
     }
-    NioSession session = acceptOrPause(processor, handle);
+    return countOpen(acceptOrPause(processor, handle));
+  }
+
+  private NioSession countOpen(NioSession session) {
     if (session != null) {
       adjustOpenConnections(1);
       session.getCloseFuture().addListener(closed -> adjustOpenConnections(-1));
@@ -64,6 +72,38 @@
     return session;
   }
 
+  /**
+   * Closes a listener after accepting the connections that are established already: the close would
+   * reset them, and their clients may have sent a request.
+   */
+  @Override
+  protected void close(ServerSocketChannel handle) throws Exception {
+    try {
+      acceptQueued(handle);
+    } finally {
+      super.close(handle);
+    }
+  }
+
+  /**
+   * Accepts the established connections of a listener, up to a fraction of the maximum number of
+   * connections, since the descriptors have to suffice.
+   */
+  private void acceptQueued(ServerSocketChannel handle) throws Exception {
+    // Without a select, only connections that the last one has seen could be accepted.
+    wakeup();
+    select();
+    int maxQueued = Math.max(1, maxOpen / CONNECTIONS_PER_QUEUED);
+    for (int accepted = 0; accepted < maxQueued; accepted++) {
+      NioSession session = countOpen(acceptOrPause(processor, handle));
+      if (session == null) {
+        return;
+      }
+      initSession(session, null, null);
+      processor.add(session);
+    }
+  }
+
   /**
    * Accepts a connection; returns null after a pause if that fails, which costs no other connection
    * more than the pause. An exception would stop MINA's acceptor for a second. MINA itself pauses
