--- a/src/main/java/cobaltseam/service/EndpointAddresses.java
+++ b/src/main/java/cobaltseam/service/EndpointAddresses.java
@@ -3,6 +3,8 @@
 import cobaltseam.dispatch.EndpointStatus;
 import cobaltseam.dispatch.EndpointStatus.EndpointState;
 import cobaltseam.dispatch.EngineId;
+import cobaltseam.logging.Field;
+import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -17,6 +19,8 @@
  * requests for it would be sent to the new one. Confined to the event-loop thread.
  */
 final class EndpointAddresses {
+  private static final System.Logger LOG = System.getLogger(EndpointAddresses.class.getName());
+
   /** The status of the engine that has each address. */
   private final Map<InetSocketAddress, EndpointStatus> holders = new HashMap<>();
 
@@ -93,18 +97,29 @@
                 || replaced.contains(engine)
                 || status.startedAt().isBefore(holder.startedAt()));
     if (isEarlier) {
-      replaced.add(engine);
-      statuses.put(engine, removed(status));
+      replace(status, holder, statuses);
       return;
     }
     if (isOther) {
-      replaced.add(holder.engine());
-      statuses.put(holder.engine(), removed(holder));
+      replace(holder, status, statuses);
     }
     replaced.remove(engine);
     holders.put(address, status);
   }
 
+  private void replace(
+      EndpointStatus earlier, EndpointStatus later, Map<EngineId, EndpointStatus> statuses) {
+    if (replaced.add(earlier.engine())) {
+      LOG.log(
+          Level.INFO,
+          "engine {0} counts as removed: its address is given to engine {1}",
+          Field.of("engine", Long.toHexString(earlier.engine().value())),
+          Field.of("newEngine", Long.toHexString(later.engine().value())),
+          Field.event("engine.replaced"));
+    }
+    statuses.put(earlier.engine(), removed(earlier));
+  }
+
   private static EndpointStatus removed(EndpointStatus status) {
     return new EndpointStatus(
         status.engine(),
