Reject clients that stopped in the middle of a message first when memory is short

Cause: at the memory limit for incomplete messages the client read last was rejected, and those that had stopped kept their share for good; the error was 08P01, which allows no retry.

Change: clients that have sent nothing for a second in the middle of a message go first; the error is 53300, since the request never ran.

--- a/src/main/java/cobaltseam/postgres/ClientMessage.java
+++ b/src/main/java/cobaltseam/postgres/ClientMessage.java
@@ -28,6 +28,11 @@
   /** A valid message of a type that the service does not support. */
   record Unsupported(char type) implements ClientMessage {}
 
-  /** Bytes that are not a valid message, or exceed a limit; parsing stops at them. */
-  record Malformed(String reason) implements ClientMessage {}
+  /**
+   * Bytes that are not a valid message, or exceed a limit; parsing stops at them.
+   *
+   * @param isOverload whether the limit is one of all clients together, so that the client did
+   *     nothing wrong and may try again
+   */
+  record Malformed(String reason, boolean isOverload) implements ClientMessage {}
 }
--- a/src/main/java/cobaltseam/postgres/ClientParser.java
+++ b/src/main/java/cobaltseam/postgres/ClientParser.java
@@ -52,12 +52,13 @@
   }
 
   /**
-   * Stops parsing, releases the buffer and passes on a malformed message with the reason. Has no
-   * effect if parsing has already stopped.
+   * Stops parsing, releases the buffer and passes on a malformed message. Has no effect if parsing
+   * has already stopped.
    */
-  public void fail(String reason, Consumer<ClientMessage> messages) {
+  public void fail(ClientMessage.Malformed message, Consumer<ClientMessage> messages) {
     if (!isBroken) {
-      reportMalformed(reason, messages);
+      isBroken = true;
+      messages.accept(message);
       length = 0;
       buffer = new byte[0];
     }
@@ -149,7 +150,7 @@
   /** Stops parsing and passes on a malformed message; returns 0, the number of bytes consumed. */
   private int reportMalformed(String reason, Consumer<ClientMessage> messages) {
     isBroken = true;
-    messages.accept(new ClientMessage.Malformed(reason));
+    messages.accept(new ClientMessage.Malformed(reason, false));
     return 0;
   }
 
--- a/src/main/java/cobaltseam/service/ClientInput.java
+++ b/src/main/java/cobaltseam/service/ClientInput.java
@@ -31,6 +31,10 @@
    */
   static final int MAX_PENDING_MESSAGES = 32;
 
+  private static final ClientMessage.Malformed OVERLOAD =
+      new ClientMessage.Malformed(
+          "too much is held for all clients, trying again is harmless", true);
+
   private static final String CLIENT_ATTRIBUTE = "client";
 
   /** The ratio of the process's memory to the memory that clients' messages may use. */
@@ -57,6 +61,7 @@
   private final AtomicLong bufferedBytes = new AtomicLong();
 
   private final long maxBufferedBytes;
+  private final IncompleteMessages incompleteMessages = new IncompleteMessages();
 
   /**
    * Cancel requests that were read and are not processed yet; at most {@link #MAX_PENDING_MESSAGES}
@@ -95,15 +100,33 @@
     client.parser.parse(input.buf(), clientMessage -> post(client, clientMessage, readAt));
     updateParserBytes(client, client.parser.bufferBytes());
     if (client.isFlooding) {
-      rejectFurtherInput(client, "too many messages at once", readAt);
-    } else if (bufferedBytes.get() > maxBufferedBytes && holdsTooMuch(client)) {
-      rejectFurtherInput(client, "too much is held for all clients", readAt);
+      rejectFurtherInput(
+          client, new ClientMessage.Malformed("too many messages at once", false), readAt);
     }
+    releaseMemory(client, readAt);
     if (client.parser.isBroken()) {
       suspendRead(client);
     }
   }
 
+  /**
+   * While the messages of all clients exceed their memory limit, rejects clients that have stopped
+   * in the middle of a message, and the one that was read last if that is not enough.
+   */
+  private void releaseMemory(ClientSession client, Timestamp now) {
+    while (bufferedBytes.get() > maxBufferedBytes) {
+      ClientSession stalled = incompleteMessages.longestStalled(now);
+      if (stalled == null) {
+        break;
+      }
+      rejectFurtherInput(stalled, OVERLOAD, now);
+      suspendRead(stalled);
+    }
+    if (bufferedBytes.get() > maxBufferedBytes && holdsTooMuch(client)) {
+      rejectFurtherInput(client, OVERLOAD, now);
+    }
+  }
+
   private static boolean holdsTooMuch(ClientSession client) {
     return client.parser.bufferBytes() > MAX_EXEMPT_BYTES
         || client.unprocessedBytes.get() > ClientParser.MAX_MESSAGE_BYTES;
@@ -203,12 +226,14 @@
    * Parses nothing more from a client: posts a protocol error, at which the event loop closes the
    * connection.
    */
-  private void rejectFurtherInput(ClientSession client, String reason, Timestamp readAt) {
+  private void rejectFurtherInput(
+      ClientSession client, ClientMessage.Malformed reason, Timestamp readAt) {
     client.parser.fail(reason, message -> post(client, message, readAt));
     updateParserBytes(client, client.parser.bufferBytes());
   }
 
   private void updateParserBytes(ClientSession client, int bytes) {
+    incompleteMessages.update(client, bytes > MAX_EXEMPT_BYTES);
     bufferedBytes.addAndGet(bytes - client.parserBytes);
     client.parserBytes = bytes;
   }
--- a/src/main/java/cobaltseam/service/ClientSessions.java
+++ b/src/main/java/cobaltseam/service/ClientSessions.java
@@ -224,7 +224,11 @@
         connections.write(client, ClientReplies.unsupportedMessage(unsupported.type()));
       }
     } else if (message instanceof ClientMessage.Malformed malformed) {
-      protocolError(client, malformed.reason());
+      if (malformed.isOverload()) {
+        closeWithError(client, ServerMessageWriter.SQLSTATE_SHED, malformed.reason());
+      } else {
+        protocolError(client, malformed.reason());
+      }
     }
   }
 
@@ -246,15 +250,16 @@
 
   private void protocolError(ClientSession client, String reason) {
     counters.add(Count.CLIENT_PROTOCOL_ERRORS);
+    closeWithError(client, ServerMessageWriter.SQLSTATE_PROTOCOL_VIOLATION, reason);
+  }
+
+  private void closeWithError(ClientSession client, String sqlState, String reason) {
     log.warn(
         "client {0} closed: {1}",
         Field.of("client", client.session.getRemoteAddress()),
         Field.of("reason", reason),
         Field.event("client.closed"));
-    connections.write(
-        client,
-        new ServerMessageWriter()
-            .errorResponse("FATAL", ServerMessageWriter.SQLSTATE_PROTOCOL_VIOLATION, reason));
+    connections.write(client, new ServerMessageWriter().errorResponse("FATAL", sqlState, reason));
     connections.close(client);
   }
 
