Keep all engines in service in the warm-up, where one emulated engine stands for them

Change: the warm-up allows shared addresses.

Test: DispatcherServiceTest.warmupKeepsAllEnginesInService fails without the change.

--- a/src/main/java/cobaltseam/service/DispatcherService.java
+++ b/src/main/java/cobaltseam/service/DispatcherService.java
@@ -305,6 +305,14 @@
     reloader.setFleet(fleet, fleetBridge, isAgreementOn);
   }
 
+  /**
+   * Lets engines have the same address, as in a warm-up, in which one emulated engine stands for
+   * all; to be called before {@link #open}.
+   */
+  void allowSharedEngineAddresses() {
+    requests.allowSharedAddresses();
+  }
+
   /** Returns the inputs of this dispatcher's health score. */
   private VirtualAddressService.HealthReport healthReport() {
     return new VirtualAddressService.HealthReport(
--- a/src/main/java/cobaltseam/service/RequestTable.java
+++ b/src/main/java/cobaltseam/service/RequestTable.java
@@ -19,6 +19,7 @@
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
 
 /**
  * The open requests: asks the decision module ({@link Dispatcher}) about each, carries out its
@@ -45,7 +46,11 @@
   private final SlotTable<InFlightRequest> slots = new SlotTable<>(MAX_OPEN_REQUESTS);
   private final Map<RequestId, InFlightRequest> requestsById = new HashMap<>();
   private final UsedCallIds usedCallIds = new UsedCallIds();
-  private final EndpointAddresses endpointAddresses = new EndpointAddresses();
+
+  /** Completes events of the endpoint list by the engines that have lost their address. */
+  private UnaryOperator<WatchEvent> addressCheck =
+      new EndpointAddresses()::withReplacedEnginesRemoved;
+
   private final EngineStartTimes engineStarts = new EngineStartTimes();
   private Timers.Timer nextStepTimer;
 
@@ -90,6 +95,11 @@
     isNextStepDue = true;
   }
 
+  /** Lets engines have the same address; to be called before any endpoint is known. */
+  void allowSharedAddresses() {
+    addressCheck = UnaryOperator.identity();
+  }
+
   /** Sets the condition that is checked before each attempt. */
   void setSendPermission(BooleanSupplier allowed) {
     maySend = allowed;
@@ -125,9 +135,7 @@
   /** Applies a change of the endpoint list, or the complete list. */
   void updateEndpoints(WatchEvent listed) {
     Timestamp now = clock.now();
-    WatchEvent event =
-        endpointAddresses.withReplacedEnginesRemoved(
-            engineStarts.translate(listed, now, Clock.wallNow()));
+    WatchEvent event = addressCheck.apply(engineStarts.translate(listed, now, Clock.wallNow()));
     engines.updateEndpoints(event);
     dispatcher.updateEndpoints(event.endpoints(), event.isComplete(), now);
     isNextStepDue = true;
--- a/src/main/java/cobaltseam/service/Warmup.java
+++ b/src/main/java/cobaltseam/service/Warmup.java
@@ -53,6 +53,7 @@
                 anyPort,
                 address(watchServer),
                 configuration.knownEvents().stream().map(this::withEmulatedEngine).toList()));
+    service.allowSharedEngineAddresses();
   }
 
   /**
