Test: the cancel request's connection is accepted before its statement is written

Cause: the test opened the connection of the cancel request while the I/O thread was held, and let go of that thread without knowing that the acceptor's thread had accepted the connection. Where it accepts later, the whole statement is read and sent first, and a cancel request that is read after it rightly comes too late. Change: the test waits until the service counts the third client, then holds the I/O thread and writes both. The check is the same.

--- a/src/test/java/cobaltseam/service/ClientUnreadInputTest.java
+++ b/src/test/java/cobaltseam/service/ClientUnreadInputTest.java
@@ -105,10 +105,13 @@
     TestClient observer = new TestClient();
     TestClient cancelling = new TestClient();
     cancelling.socket.setSendBufferSize(SEND_BUFFER_BYTES);
-    CountDownLatch resume = blockIoThread();
-    cancelling.out.write(queryMessage(idempotentStatement(1, 10_000) + " ".repeat(PADDING_BYTES)));
     try (Socket connection =
         new Socket(service.address().getAddress(), service.address().getPort())) {
+      // A connection that is accepted later is read later, which is not the order under test.
+      awaitCounter(observer, "clients_opened|3");
+      CountDownLatch resume = blockIoThread();
+      cancelling.out.write(
+          queryMessage(idempotentStatement(1, 10_000) + " ".repeat(PADDING_BYTES)));
       connection.getOutputStream().write(cancelling.cancelRequest());
       resume.countDown();
       assertEquals(-1, connection.getInputStream().read());
