Send a retry only once the unread input of its client is read

What callers saw: a client closes its connection with more than 16 KB unread, and its request is sent on afterwards, as a retry, where the failure of its attempt is read in the same round as the begin of that input. Cause: before a write it was asked only whether the end of the client's connection had been read. With more than one read's worth unread, or reading suspended behind broken input, it had not been, and the event loop could not know. Change: UnreadInput tells the event loop which connections have filled their last read. An attempt of such a client, or of one whose reading is suspended, is written once that is read, through the same checks as an attempt that waited for a connection (EngineConnections.writeIfAwaited); if its engine changes meanwhile, it is placed anew. An attempt that was not written since its client has left ends as local_failure, in place of unreachable, so that the engine's health is not blamed. The rig's wait for a turn of the event loop has an end now: a test that failed before it hung the whole run.

--- a/src/main/java/cobaltseam/dispatch/AttemptOutcome.java
+++ b/src/main/java/cobaltseam/dispatch/AttemptOutcome.java
@@ -35,7 +35,8 @@
     CANCELLED(false),
     NEVER_SENT(true),
     /**
-     * No connection could be opened for a reason on this machine, which says nothing of engines.
+     * The attempt was not sent for a reason on this side, which says nothing of engines: no
+     * connection could be opened, or the client has disconnected before.
      */
     LOCAL_FAILURE(true);
 
--- a/src/main/java/cobaltseam/service/ClientInput.java
+++ b/src/main/java/cobaltseam/service/ClientInput.java
@@ -150,8 +150,8 @@
     sockets.runBeforeSelect(
         () -> {
           if (client.isReadSuspended) {
+            sockets.resumeRead(client.session);
             client.isReadSuspended = false;
-            client.session.resumeRead();
           }
         });
   }
@@ -260,6 +260,34 @@
     return pendingCancels.stream().anyMatch(client::isTargetOf);
   }
 
+  /**
+   * Whether input of a client is known to be unread, behind which it may have disconnected;
+   * thread-safe.
+   */
+  boolean hasUnreadInput(ClientSession client) {
+    return client.isReadSuspended || sockets.hasUnreadInput(client.session);
+  }
+
+  /**
+   * Runs a task on the event-loop thread when the input of a client that is unread now is read, or
+   * when its connection is closed; thread-safe.
+   */
+  void runWhenRead(ClientSession client, Runnable task) {
+    sockets.runBeforeSelect(() -> postWhenRead(client, task));
+  }
+
+  private void postWhenRead(ClientSession client, Runnable task) {
+    sockets.runWhenRead(
+        client.session,
+        () -> {
+          if (client.isReadSuspended && !client.session.isClosing()) {
+            postWhenRead(client, task);
+          } else {
+            inbox.post(client.session, task);
+          }
+        });
+  }
+
   /** Removes a cancel request that the event loop is about to process. */
   void removeCancel(ClientMessage.Cancel cancel) {
     pendingCancels.remove(cancel);
--- a/src/main/java/cobaltseam/service/ClientSession.java
+++ b/src/main/java/cobaltseam/service/ClientSession.java
@@ -27,6 +27,12 @@
 
     /** Whether a cancel request for this session was read and is not processed yet. */
     boolean isCancelPending(ClientSession client);
+
+    /** Whether input of this session is known to be unread. */
+    boolean hasUnreadInput(ClientSession client);
+
+    /** Runs a task on the event-loop thread when that input is read. */
+    void runWhenRead(ClientSession client, Runnable task);
   }
 
   /**
@@ -81,8 +87,8 @@
   /** Whether the client exceeded the limit of waiting messages; owned by the I/O thread. */
   boolean isFlooding;
 
-  /** Whether reading is suspended; owned by the I/O thread. */
-  boolean isReadSuspended;
+  /** Whether reading is suspended; written by the I/O thread. */
+  volatile boolean isReadSuspended;
 
   long slotKey = SlotTable.NONE;
   int cancelSecret;
@@ -158,6 +164,16 @@
     return session.isClosing() || listener.isCancelPending(this);
   }
 
+  @Override
+  public boolean hasUnreadInput() {
+    return listener.hasUnreadInput(this);
+  }
+
+  @Override
+  public void runWhenRead(Runnable task) {
+    listener.runWhenRead(this, task);
+  }
+
   /** Whether the client has sent a part of a message, and some of it within this time. */
   boolean isSendingMessage(Timestamp now, TimeSpan within) {
     Timestamp lastReceived = lastReceivedAt;
--- a/src/main/java/cobaltseam/service/ClientSessions.java
+++ b/src/main/java/cobaltseam/service/ClientSessions.java
@@ -268,6 +268,16 @@
     return input.isCancelPending(client);
   }
 
+  @Override
+  public boolean hasUnreadInput(ClientSession client) {
+    return input.hasUnreadInput(client);
+  }
+
+  @Override
+  public void runWhenRead(ClientSession client, Runnable task) {
+    input.runWhenRead(client, task);
+  }
+
   /** Cancels the open request of the session that is named; its statement gets no answer. */
   private void cancel(ClientMessage.Cancel cancel) {
     connections.forEach(
--- a/src/main/java/cobaltseam/service/EngineConnectionPool.java
+++ b/src/main/java/cobaltseam/service/EngineConnectionPool.java
@@ -31,6 +31,12 @@
     /** Called when a connection is established. */
     void connected(EngineConnection connection, Timestamp now);
 
+    /**
+     * Called when the state of an engine has changed, for each established connection to it:
+     * attempts that are not written were placed by the earlier state.
+     */
+    void engineChanged(EngineConnection connection);
+
     /**
      * Called when a connection was removed from the pool.
      *
@@ -132,6 +138,7 @@
         List.copyOf(entry.connections).stream()
             .filter(connection -> connection.attempts.isEmpty() || connection.session == null)
             .forEach(connection -> drop(connection, CloseReason.ENDPOINT_REMOVED));
+        List.copyOf(entry.connections).forEach(listener::engineChanged);
       }
     }
     engines
@@ -154,11 +161,12 @@
       boolean isOutdated =
           status.state() == EndpointState.UP && connection.openedAt.isBefore(status.startedAt());
       // Attempts that wait for this connection were placed by the engine's earlier state, for
-      // example
-      // before it drained or restarted, and have to be placed again.
+      // example before it drained or restarted, and have to be placed again.
       boolean isPlacedBeforeChange = hasChanged && connection.session == null;
       if (isOutdated || isPlacedBeforeChange) {
         drop(connection, CloseReason.ENDPOINT_CHANGED);
+      } else if (hasChanged) {
+        listener.engineChanged(connection);
       }
     }
   }
--- a/src/main/java/cobaltseam/service/EngineConnections.java
+++ b/src/main/java/cobaltseam/service/EngineConnections.java
@@ -30,6 +30,14 @@
     /** Whether a client still waits for the answer, as far as the I/O thread has read. */
     boolean isAwaited(Attempt attempt);
 
+    /**
+     * If input of the client is known to be unread, behind which it may have disconnected, runs a
+     * task when it is read.
+     *
+     * @return whether there is such input; if not, the task is not run
+     */
+    boolean runIfUnread(Attempt attempt, Runnable task);
+
     /** Called once for each attempt, with its outcome. */
     void ended(Attempt attempt, AttemptResult result, Timestamp now);
   }
@@ -125,7 +133,7 @@
     attempt.timeout = timers.set(attempt.deadline, () -> abandon(attempt, AttemptResult.TIMED_OUT));
     attempt.connection = connection;
     connection.attempts.put(attempt.callId(), attempt);
-    if (connection.session != null) {
+    if (connection.session != null && !isDeferred(attempt)) {
       write(attempt, now);
     }
     return attempt;
@@ -168,7 +176,8 @@
     }
     EngineConnection connection = attempt.connection;
     if (connection == null || attempt.writePosition == 0) {
-      endAttempt(attempt, unsentResult(connection));
+      boolean isDeferred = connection != null && connection.session != null;
+      endAttempt(attempt, isDeferred ? AttemptResult.LOCAL_FAILURE : unsentResult(connection));
       return;
     }
     if (connection.attempts.size() == 1) {
@@ -219,6 +228,35 @@
     listener.ended(attempt, result, now);
   }
 
+  /**
+   * Whether the input of the client has to be read before an attempt may be written; if so, it is
+   * written then.
+   */
+  private boolean isDeferred(Attempt attempt) {
+    return listener.runIfUnread(attempt, () -> writeIfAwaited(attempt));
+  }
+
+  /**
+   * Writes an attempt that has waited, unless its time for that is over or its client does not wait
+   * for the answer.
+   */
+  private void writeIfAwaited(Attempt attempt) {
+    if (attempt.hasEnded || attempt.connection.session == null) {
+      return;
+    }
+    Timestamp now = clock.now();
+    // From startBy on, engines may have forgotten the earlier attempt of this request and would
+    // not recognize this one as a repetition.
+    boolean isInTime = attempt.startBy == null || now.isBefore(attempt.startBy);
+    if (!listener.isAwaited(attempt)) {
+      endAttempt(attempt, AttemptResult.LOCAL_FAILURE);
+    } else if (!isInTime) {
+      endAttempt(attempt, AttemptResult.UNREACHABLE);
+    } else if (!isDeferred(attempt)) {
+      write(attempt, now);
+    }
+  }
+
   private void write(Attempt attempt, Timestamp now) {
     attempt.connection.resetUnsolicitedAnswers();
     long timeoutMs = Math.max(1, (attempt.deadline.since(now).us() + US_PER_MS - 1) / US_PER_MS);
@@ -261,14 +299,15 @@
 
   @Override
   public void connected(EngineConnection connection, Timestamp now) {
+    List.copyOf(connection.attempts.values()).forEach(this::writeIfAwaited);
+  }
+
+  /** Ends the attempts that were not written, so that they are placed again. */
+  @Override
+  public void engineChanged(EngineConnection connection) {
     for (Attempt attempt : List.copyOf(connection.attempts.values())) {
-      // From startBy on, engines may have forgotten the earlier attempt of this request and would
-      // not recognize this one as a repetition.
-      boolean isInTime = attempt.startBy == null || now.isBefore(attempt.startBy);
-      if (isInTime && listener.isAwaited(attempt)) {
-        write(attempt, now);
-      } else {
-        endAttempt(attempt, AttemptResult.UNREACHABLE);
+      if (attempt.writePosition == 0) {
+        endAttempt(attempt, AttemptResult.LOCAL_FAILURE);
       }
     }
   }
--- a/src/main/java/cobaltseam/service/InFlightRequest.java
+++ b/src/main/java/cobaltseam/service/InFlightRequest.java
@@ -41,4 +41,9 @@
   boolean isClientDisconnected() {
     return responseHandle != null && responseHandle.isClientDisconnected();
   }
+
+  /** Whether input of the client is known to be unread, behind which it may have disconnected. */
+  boolean hasUnreadInput() {
+    return responseHandle != null && responseHandle.hasUnreadInput();
+  }
 }
--- a/src/main/java/cobaltseam/service/RequestTable.java
+++ b/src/main/java/cobaltseam/service/RequestTable.java
@@ -266,6 +266,16 @@
         && !request.isClientDisconnected();
   }
 
+  @Override
+  public boolean runIfUnread(Attempt attempt, Runnable task) {
+    InFlightRequest request = requestsById.get(attempt.requestId);
+    boolean isUnread = request != null && request.hasUnreadInput();
+    if (isUnread) {
+      request.responseHandle.runWhenRead(task);
+    }
+    return isUnread;
+  }
+
   @Override
   public void progressReported(Attempt attempt, double progress, Timestamp now) {
     if (progress >= 0) {
--- a/src/main/java/cobaltseam/service/ResponseHandle.java
+++ b/src/main/java/cobaltseam/service/ResponseHandle.java
@@ -26,4 +26,10 @@
    * read. This may be true before {@link RequestTable#clientDisconnected} is called.
    */
   boolean isClientDisconnected();
+
+  /** Whether input of the client is known to be unread, behind which it may have disconnected. */
+  boolean hasUnreadInput();
+
+  /** Runs a task on the event-loop thread when that input is read. */
+  void runWhenRead(Runnable task);
 }
--- a/src/main/java/cobaltseam/service/SocketProcessor.java
+++ b/src/main/java/cobaltseam/service/SocketProcessor.java
@@ -7,10 +7,8 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Queue;
-import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executor;
 import org.apache.mina.core.buffer.IoBuffer;
@@ -70,8 +68,7 @@
   /** Tasks that run after all input of the current select is read. */
   private List<Runnable> roundEndTasks = new ArrayList<>();
 
-  /** Connections whose read in the current round filled its buffer: more input may be unread. */
-  private final Set<IoSession> sessionsWithUnreadInput = new HashSet<>();
+  private final UnreadInput unreadInput = new UnreadInput();
 
   /** The number of rounds in a row for which {@link #tasksAfterSelect} were held back. */
   private int heldBackRounds;
@@ -132,7 +129,7 @@
   void runWhenRead(IoSession session, Runnable task) {
     runAtRoundEnd(
         () -> {
-          if (sessionsWithUnreadInput.contains(session)) {
+          if (unreadInput.isAddedInRound(session)) {
             wakeup();
             runWhenRead(session, task);
           } else {
@@ -141,6 +138,23 @@
         });
   }
 
+  /**
+   * Whether more input of a connection may be unread than the last read took, or than was read
+   * since {@link #resumeRead}; thread-safe.
+   */
+  boolean hasUnreadInput(IoSession session) {
+    return unreadInput.contains(session);
+  }
+
+  /**
+   * Reads from a connection again after a suspension, during which input may have arrived. To be
+   * called on the I/O thread.
+   */
+  void resumeRead(IoSession session) {
+    unreadInput.add(session);
+    session.resumeRead();
+  }
+
   /**
    * Shuts down the output of a connection as soon as all data written to it is sent, and continues
    * reading; thread-safe. Closing a socket with unread bytes would reset the connection, and the
@@ -187,6 +201,7 @@
    */
   @Override
   protected int select(long timeout) throws Exception {
+    unreadInput.endReads();
     List<Runnable> endTasks = roundEndTasks;
     roundEndTasks = new ArrayList<>();
     endTasks.forEach(Runnable::run);
@@ -195,7 +210,7 @@
       tasksAfterSelect.add(task);
     }
     dueTasks.forEach(Runnable::run);
-    sessionsWithUnreadInput.clear();
+    unreadInput.beginRound();
     // After the requested tasks were taken, so that each of these sees the effect of all immediate
     // tasks that were added before it.
     for (Runnable task = immediateTasks.poll(); task != null; task = immediateTasks.poll()) {
@@ -213,7 +228,7 @@
 
   /** Takes the tasks that were requested before the last select, unless input of it is unread. */
   private List<Runnable> takeDueTasks() {
-    if (!sessionsWithUnreadInput.isEmpty()
+    if (!unreadInput.isRoundEmpty()
         && !tasksAfterSelect.isEmpty()
         && heldBackRounds < MAX_HELD_BACK_ROUNDS) {
       heldBackRounds++;
@@ -230,7 +245,7 @@
   protected int read(NioSession session, IoBuffer buffer) throws Exception {
     int bytes = super.read(session, buffer);
     if (bytes > 0 && !buffer.hasRemaining()) {
-      sessionsWithUnreadInput.add(session);
+      unreadInput.add(session);
     }
     return bytes;
   }
--- a/src/test/java/cobaltseam/service/ServiceRig.java
+++ b/src/test/java/cobaltseam/service/ServiceRig.java
@@ -476,6 +476,6 @@
       service.inbox.post(null, () -> {});
     }
     service.inbox.post(null, turnCompleted::countDown);
-    turnCompleted.await();
+    assertTrue(turnCompleted.await(TIMEOUT_S, TimeUnit.SECONDS), "the event loop has stopped");
   }
 }
