Use a new connection to an engine only after the input that came before is read

What callers saw: a process is held up while a connection to an engine comes up and the client that waits for it leaves; its request is written to the engine and then cancelled (listed as an open window in docs/concurrency.md). Cause: the I/O thread registers new connections before it reads the ones that it selected, and posted at once that they are established, so the event loop could write before the client's end was read. Change: the end of a connect is posted through SocketProcessor.runAfterReading.

--- a/src/main/java/cobaltseam/service/DispatcherService.java
+++ b/src/main/java/cobaltseam/service/DispatcherService.java
@@ -84,7 +84,7 @@
   final SocketProcessor processor = new SocketProcessor(executor, clock, counters);
 
   final BoundedAcceptor acceptor;
-  private final NioSocketConnector engineConnector = new NioSocketConnector(executor, processor);
+  final NioSocketConnector engineConnector = new NioSocketConnector(executor, processor);
   private final NioSocketConnector watchConnector = new NioSocketConnector(executor, processor);
   private final EngineConnections engines;
   private final RequestTable requests;
--- a/src/main/java/cobaltseam/service/EngineConnectionPool.java
+++ b/src/main/java/cobaltseam/service/EngineConnectionPool.java
@@ -77,6 +77,7 @@
   }
 
   private final SocketConnector connector;
+  private final SocketProcessor sockets;
   private final EventLoopQueue inbox;
   private final Clock clock;
   private final Timers timers;
@@ -92,6 +93,7 @@
   EngineConnectionPool(
       ServiceConfiguration configuration,
       SocketConnector connector,
+      SocketProcessor sockets,
       EventLoopQueue inbox,
       Clock clock,
       Timers timers,
@@ -99,6 +101,7 @@
       AttemptLog log,
       Listener listener) {
     this.connector = connector;
+    this.sockets = sockets;
     this.inbox = inbox;
     this.clock = clock;
     this.timers = timers;
@@ -326,7 +329,9 @@
         connector.connect(
             connection.address, (session, future) -> EngineInput.attach(session, connection));
     connection.future.addListener(
-        (ConnectFuture future) -> inbox.post(null, () -> connectEnded(connection)));
+        // The end of a client's connection may be unread: no attempt of its request may start then.
+        (ConnectFuture future) ->
+            sockets.runAfterReading(() -> inbox.post(null, () -> connectEnded(connection))));
   }
 
   private void connectEnded(EngineConnection connection) {
--- a/src/main/java/cobaltseam/service/EngineConnections.java
+++ b/src/main/java/cobaltseam/service/EngineConnections.java
@@ -68,7 +68,7 @@
     this.log = log;
     pool =
         new EngineConnectionPool(
-            configuration, connector, inbox, clock, timers, counters, log, this);
+            configuration, connector, sockets, inbox, clock, timers, counters, log, this);
     answers = new EngineAnswers(pool, this, clock, counters, log);
     answers.applyConfiguration(configuration);
     connector.setHandler(new EngineInput(this, sockets, inbox, flowControl));
--- a/src/test/java/cobaltseam/service/ClientDisconnectRaceTest.java
+++ b/src/test/java/cobaltseam/service/ClientDisconnectRaceTest.java
@@ -7,6 +7,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import org.apache.mina.core.filterchain.IoFilter;
+import org.apache.mina.core.filterchain.IoFilterAdapter;
+import org.apache.mina.core.session.IoSession;
 import org.junit.jupiter.api.Test;
 
 /** Clients disconnect or cancel at each step of their request: no attempt may start after that. */
@@ -175,6 +178,31 @@
     assertNoPull(engine);
   }
 
+  /**
+   * The end of the client's connection is unread when a connection to the engine is established,
+   * which the event loop processes before the I/O thread reads on.
+   */
+  @Test
+  void attemptIsNotWrittenWhenTheDisconnectIsUnreadAsItsEngineConnects() throws Exception {
+    start(new EmulatedPeer(true));
+    TestClient observer = new TestClient();
+    TestClient disconnecting = new TestClient();
+    IoFilter disconnectFirst =
+        new IoFilterAdapter() {
+          @Override
+          public void sessionOpened(NextFilter next, IoSession session) throws Exception {
+            next.sessionOpened(session);
+            disconnecting.close();
+            awaitEventLoopTurn();
+          }
+        };
+    service.engineConnector.getFilterChain().addLast("test", disconnectFirst);
+    disconnecting.writeQuery(disconnecting.out, longRunningStatement(1));
+    awaitCounter(observer, "commands_departed|1");
+    List<String> counters = observer.execute("SHOW cobaltseam.counters");
+    assertTrue(counters.contains("sends_cancelled|0"), counters.toString());
+  }
+
   /**
    * The engine fails, then the client disconnects. The event loop is delayed, and processes the
    * failure when the disconnect has already been read.
