Place attempts that wait for their connection again when settings change

Cause: new settings apply to open requests when they are decided the next time. A retry that waits for its connection is decided already, and was written under the settings of before. Change: RequestTable.applySettings ends the attempts that are not written, which never ran; they are placed again under the new settings. Their connections stay.

--- a/src/main/java/cobaltseam/service/EngineConnectionPool.java
+++ b/src/main/java/cobaltseam/service/EngineConnectionPool.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.transport.socket.SocketConnector;
@@ -219,6 +220,11 @@
     return connections.size();
   }
 
+  /** Calls an action with each connection that is open or being opened; it may remove any. */
+  void forEachConnection(Consumer<EngineConnection> action) {
+    connections.forEach(action);
+  }
+
   /** Whether a connection is still in the pool. */
   boolean isOpen(EngineConnection connection) {
     return connections.get(connection.key) == connection;
--- a/src/main/java/cobaltseam/service/EngineConnections.java
+++ b/src/main/java/cobaltseam/service/EngineConnections.java
@@ -302,6 +302,11 @@
     List.copyOf(connection.attempts.values()).forEach(this::writeIfAwaited);
   }
 
+  /** Ends all attempts that were not written, so that they are placed again. */
+  void endUnwritten() {
+    pool.forEachConnection(this::engineChanged);
+  }
+
   /** Ends the attempts that were not written, so that they are placed again. */
   @Override
   public void engineChanged(EngineConnection connection) {
--- a/src/main/java/cobaltseam/service/RequestTable.java
+++ b/src/main/java/cobaltseam/service/RequestTable.java
@@ -86,11 +86,12 @@
 
   /**
    * Applies new settings at once; {@link Dispatcher#applySettings} describes which settings then
-   * apply to open requests.
+   * apply to open requests. Attempts that were not written are placed again by the new settings.
    */
   void applySettings(Deployment deployment) {
     dispatcher.applySettings(deployment, clock.now());
     translator.applySettings(deployment);
+    engines.endUnwritten();
     counters.add(Count.CONFIGURATIONS_MOVED);
     isNextStepDue = true;
   }
--- a/src/test/java/cobaltseam/service/AttemptRaceTest.java
+++ b/src/test/java/cobaltseam/service/AttemptRaceTest.java
@@ -4,8 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import sun.misc.Signal;
 
 /**
  * Tests attempts that wait for a connection while the state of their engine changes, the handling
@@ -40,6 +45,39 @@
     assertNoPull(drained);
   }
 
+  /**
+   * Guards against a request that runs twice: its first attempt may have run, and its retry waits
+   * for a connection when new settings mark its class as unsafe to repeat.
+   */
+  @Test
+  void retryWaitingForConnectionIsNotSentOnceItsClassIsNotRepeatable(@TempDir Path folder)
+      throws Exception {
+    EmulatedPeer failing = new EmulatedPeer(true);
+    UnreachableEngine unreachable = new UnreachableEngine();
+    EmulatedPeer bus =
+        start(ServiceRig::withLongConnectTimeout, SOCKETS, IDLE_MS, failing.address());
+    TestClient client = new TestClient(idempotentStatement(1, 20_000));
+    Message pull = failing.next("PULL");
+    String[] engines = {
+      endpointJson(1, failing.address(), "terminating"),
+      endpointJson(2, unreachable.address(), "in_service")
+    };
+    bus.next("from 7").write(endpointEvent(8, false, engines) + "\n");
+    TestClient observer = new TestClient();
+    awaitCounter(observer, "bus_events|1");
+    pull.answer(pull.id(), "500", "-", "");
+    awaitCounter(observer, "sends|2");
+    Path file = folder.resolve("configuration.json");
+    service.reloadOnHangUp(Map.of("GW_CONFIG", file.toString()));
+    String changed = configurationJson(bus.address(), SOCKETS, IDLE_MS, engines);
+    Files.writeString(file, withLongConnectTimeout(changed).replace("read_like", "non_idempotent"));
+    Signal.raise(new Signal("HUP"));
+    awaitCounter(observer, "configurations_moved|1");
+    EmulatedPeer reachable = unreachable.acceptConnections();
+    assertTrue(client.readReplies().get(0).startsWith("error"));
+    assertNoPull(reachable);
+  }
+
   /**
    * An attempt that waits for a connection when its engine restarts is placed again, since the slow
    * start of the engine limits it.
