Ask again whether this dispatcher may send before writing an attempt that waited

Cause: whether this dispatcher may send is asked when an attempt starts (RequestTable.start), not when it is written after a wait.

Change: EngineConnections.writeIfAwaited asks it first. An attempt that may not be sent ends as NEVER_SENT, and its client is told to try again.

--- a/src/main/java/cobaltseam/service/DispatcherService.java
+++ b/src/main/java/cobaltseam/service/DispatcherService.java
@@ -87,7 +87,7 @@
   final NioSocketConnector engineConnector = new NioSocketConnector(executor, processor);
   private final NioSocketConnector watchConnector = new NioSocketConnector(executor, processor);
   private final EngineConnections engines;
-  private final RequestTable requests;
+  final RequestTable requests;
   private final ClientSessions clients;
   private final EndpointWatch endpointWatch;
   private final ConfigurationReloader reloader;
--- a/src/main/java/cobaltseam/service/EngineConnections.java
+++ b/src/main/java/cobaltseam/service/EngineConnections.java
@@ -27,6 +27,9 @@
     /** Called when an attempt waits for a load of the table that it reads. */
     void blockedByLoad(Attempt attempt, Timestamp now);
 
+    /** Whether this dispatcher may start attempts now. */
+    boolean isSendPermitted();
+
     /** Whether a client still waits for the answer, as far as the I/O thread has read. */
     boolean isAwaited(Attempt attempt);
 
@@ -237,8 +240,8 @@
   }
 
   /**
-   * Writes an attempt that has waited, unless its time for that is over or its client does not wait
-   * for the answer.
+   * Writes an attempt that has waited, unless this dispatcher may not send any more, the client
+   * does not wait for the answer, or the time for it is over.
    */
   private void writeIfAwaited(Attempt attempt) {
     if (attempt.hasEnded || attempt.connection.session == null) {
@@ -248,7 +251,9 @@
     // From startBy on, engines may have forgotten the earlier attempt of this request and would
     // not recognize this one as a repetition.
     boolean isInTime = attempt.startBy == null || now.isBefore(attempt.startBy);
-    if (!listener.isAwaited(attempt)) {
+    if (!listener.isSendPermitted()) {
+      endAttempt(attempt, AttemptResult.NEVER_SENT);
+    } else if (!listener.isAwaited(attempt)) {
       endAttempt(attempt, AttemptResult.LOCAL_FAILURE);
     } else if (!isInTime) {
       endAttempt(attempt, AttemptResult.UNREACHABLE);
--- a/src/main/java/cobaltseam/service/RequestTable.java
+++ b/src/main/java/cobaltseam/service/RequestTable.java
@@ -54,7 +54,7 @@
   private final EngineStartTimes engineStarts = new EngineStartTimes();
   private Timers.Timer nextStepTimer;
 
-  /** Whether this dispatcher may start attempts now; by default always. */
+  /** Whether this dispatcher may write attempts to engines now; by default always. */
   private BooleanSupplier maySend = () -> true;
 
   /** Receives the load that engines report with attempts; null without a fleet. */
@@ -258,6 +258,11 @@
 
   // ---- attempts
 
+  @Override
+  public boolean isSendPermitted() {
+    return maySend.getAsBoolean();
+  }
+
   @Override
   public boolean isAwaited(Attempt attempt) {
     InFlightRequest request = requestsById.get(attempt.requestId);
--- a/src/test/java/cobaltseam/service/AttemptRaceTest.java
+++ b/src/test/java/cobaltseam/service/AttemptRaceTest.java
@@ -78,6 +78,24 @@
     assertNoPull(reachable);
   }
 
+  /**
+   * Guards against a dispatcher that goes on sending after a peer may have become active: it is
+   * suspended while an attempt waits for its connection.
+   */
+  @Test
+  void attemptWaitingForConnectionIsNotSentOnceSendingIsNotPermitted() throws Exception {
+    UnreachableEngine unreachable = new UnreachableEngine();
+    start(ServiceRig::withLongConnectTimeout, SOCKETS, IDLE_MS, unreachable.address());
+    TestClient client = new TestClient(statement("once", 1, 20_000));
+    TestClient observer = new TestClient();
+    awaitCounter(observer, "sends|1");
+    service.inbox.post(null, () -> service.requests.setSendPermission(() -> false));
+    awaitEventLoopTurn();
+    EmulatedPeer reachable = unreachable.acceptConnections();
+    assertEquals("error 53 pushback", client.readReplies().get(0));
+    assertNoPull(reachable);
+  }
+
   /**
    * An attempt that waits for a connection when its engine restarts is placed again, since the slow
    * start of the engine limits it.
