Write the state folder only while this process holds its lock

What operators saw: where a member's state folder is moved away or replaced while the dispatcher runs, it writes into whatever stands at the path, also if another process has locked that folder and keeps its own promises there.

Cause: the lock was taken at the start; whether the folder is still the locked one was not asked.

Change: before each write AtomicFile compares the file key of the lock file with that of the one it locked, and throws LockLostException.

--- a/src/main/java/cobaltseam/store/AtomicFile.java
+++ b/src/main/java/cobaltseam/store/AtomicFile.java
@@ -7,9 +7,12 @@
 import java.nio.channels.OverlappingFileLockException;
 import java.nio.file.AtomicMoveNotSupportedException;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
+import java.nio.file.attribute.BasicFileAttributes;
+import java.util.Objects;
 import java.util.zip.CRC32C;
 
 /**
@@ -56,16 +59,30 @@
    */
   public record ReadResult(ReadStatus status, byte[] value) {}
 
+  /** A folder was removed or replaced while it was in use, so that it is not locked any more. */
+  public static final class LockLostException extends IOException {
+    private static final long serialVersionUID = 1;
+
+    private LockLostException(Path folder) {
+      super("the folder " + folder + " was removed or replaced; restart to use it again");
+    }
+  }
+
   private final Path folder;
   private final Path file;
   private final int format;
   private final FileChannel lockFile;
 
-  private AtomicFile(Path folder, String name, int format, FileChannel lockFile) {
+  /** Identifies the lock file on its file system; null where that has no such keys. */
+  private final Object lockFileKey;
+
+  private AtomicFile(Path folder, String name, int format, FileChannel lockFile)
+      throws IOException {
     this.folder = folder;
     this.file = folder.resolve(name);
     this.format = format;
     this.lockFile = lockFile;
+    lockFileKey = readLockFileKey();
   }
 
   /**
@@ -145,6 +162,24 @@
     return (int) crc.getValue();
   }
 
+  private Object readLockFileKey() throws IOException {
+    return Files.readAttributes(folder.resolve(LOCK_FILE_NAME), BasicFileAttributes.class)
+        .fileKey();
+  }
+
+  /** Throws an exception if the folder at this path is not the one that was locked, or no more. */
+  private void requireLock() throws IOException {
+    Object presentKey;
+    try {
+      presentKey = readLockFileKey();
+    } catch (NoSuchFileException e) {
+      throw new LockLostException(folder);
+    }
+    if (!lockFile.isOpen() || !Objects.equals(presentKey, lockFileKey)) {
+      throw new LockLostException(folder);
+    }
+  }
+
   private Path temporaryFile() {
     return folder.resolve(file.getFileName() + ".new");
   }
@@ -152,9 +187,12 @@
   /**
    * Replaces the value, and returns once the new value is on disk.
    *
+   * @throws LockLostException if this process has no lock on the folder any more, so that another
+   *     one may use it
    * @throws IOException if the value is too large or can't be written; the old value remains then
    */
   public void write(byte[] value) throws IOException {
+    requireLock();
     if (value.length > MAX_VALUE_BYTES) {
       throw new IOException(
           "the value has " + value.length + " bytes, the limit is " + MAX_VALUE_BYTES);
--- a/src/test/java/cobaltseam/store/AtomicFileTest.java
+++ b/src/test/java/cobaltseam/store/AtomicFileTest.java
@@ -84,6 +84,19 @@
     AtomicFile.open(folder, "value", 1).close();
   }
 
+  /** Guards against two processes that write to one folder. */
+  @Test
+  void folderThatWasReplacedIsNotWritten() throws IOException {
+    try (AtomicFile file = AtomicFile.open(folder, "value", 1)) {
+      Files.move(folder.resolve("lock"), folder.resolve("former-lock"));
+      assertThrows(AtomicFile.LockLostException.class, () -> file.write(new byte[1]));
+      try (AtomicFile other = AtomicFile.open(folder, "value", 1)) {
+        assertThrows(AtomicFile.LockLostException.class, () -> file.write(new byte[1]));
+        other.write(new byte[2]);
+      }
+    }
+  }
+
   @Test
   void writerReportsWrittenValuesAndFailures() throws Exception {
     AtomicLong newest = new AtomicLong();
