Repeat a write to the state folder that failed

Cause: after one failed write a member went on without its folder until its next start.

Change: BackgroundWriter repeats a failed write until it succeeds, after 20 to 500 ms. The member withholds what depends on it meanwhile, as with a slow disk. After 30 s of failures, or where the folder was removed or replaced, it goes on without its folder as before. AtomicFileTest's writer test has the new listener interface; its checks are as before.

--- a/src/main/java/cobaltseam/service/Counters.java
+++ b/src/main/java/cobaltseam/service/Counters.java
@@ -156,7 +156,9 @@
     /** The longest time from a connect of the endpoint watch to its first line, in milliseconds. */
     BUS_FIRST_LINE_PEAK_MS,
     /** Endpoint events that arrived after they were skipped as lost, and were applied then. */
-    BUS_EVENTS_LATE;
+    BUS_EVENTS_LATE,
+    /** Writes of a state to the state folder that failed; each is repeated. */
+    MEMBERSHIP_WRITES_FAILED;
 
     /** The name as printed. */
     String label() {
--- a/src/main/java/cobaltseam/service/FleetService.java
+++ b/src/main/java/cobaltseam/service/FleetService.java
@@ -100,9 +100,7 @@
     taskQueue = new EventLoopQueue(counters);
     RateLimitedLog log = new RateLimitedLog(LOG, clock);
     messaging = new FleetMessaging(this.settings, counters, log, this::receive);
-    folder =
-        new FleetStateFolder(
-            this.settings.stateFolder(), this::onStateWritten, this::onStateWriteFailed);
+    folder = new FleetStateFolder(this.settings.stateFolder(), counters, new StateFolderListener());
     modules =
         new FleetModules(
             settings,
@@ -125,12 +123,17 @@
     taskQueue.post(null, () -> runStep(() -> coordinator.start(clock.now())));
   }
 
-  private void onStateWritten(long number) {
-    taskQueue.post(null, () -> runStep(() -> coordinator.persisted(number, clock.now())));
-  }
+  /** Passes the outcomes of writes to the state folder on to the fleet's thread. */
+  private final class StateFolderListener implements FleetStateFolder.Listener {
+    @Override
+    public void onStateWritten(long number) {
+      taskQueue.post(null, () -> runStep(() -> coordinator.persisted(number, clock.now())));
+    }
 
-  private void onStateWriteFailed(String reason) {
-    taskQueue.post(null, () -> runStep(() -> coordinator.persistFailed(reason, clock.now())));
+    @Override
+    public void onOutage(String reason) {
+      taskQueue.post(null, () -> runStep(() -> coordinator.persistFailed(reason, clock.now())));
+    }
   }
 
   // ---- life cycle
--- a/src/main/java/cobaltseam/service/FleetStatusRows.java
+++ b/src/main/java/cobaltseam/service/FleetStatusRows.java
@@ -230,7 +230,8 @@
       return "none";
     }
     if (modules.membership.isPersistent()) {
-      return folder.path().toString();
+      String error = folder.writeError();
+      return folder.path() + (error.isEmpty() ? "" : ", not written: " + error);
     }
     return folder.path()
         + ", not used: "
--- a/src/main/java/cobaltseam/store/BackgroundWriter.java
+++ b/src/main/java/cobaltseam/store/BackgroundWriter.java
@@ -1,58 +1,93 @@
 package cobaltseam.store;
 
-import java.util.concurrent.ArrayBlockingQueue;
-import java.util.concurrent.ExecutorService;
+import cobaltseam.store.AtomicFile.LockLostException;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.function.LongConsumer;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 /**
  * Writes values to a file on a thread of its own, so that a slow disk does not block the submitting
  * thread. Each value contains everything that the earlier ones contain, so only the newest value is
- * written: a value that is submitted during a write replaces any value that is pending.
+ * written: a value that is submitted during a write replaces any value that is pending. A write
+ * that fails is repeated until it succeeds or a newer value replaces it.
  */
 public final class BackgroundWriter implements AutoCloseable {
+  /** How long writes may fail before {@link Listener#onOutage} is called. */
+  public static final Duration OUTAGE = Duration.ofSeconds(30);
+
+  private static final long FIRST_RETRY_DELAY_MS = 20;
+
+  /** Below the time that {@link #close} waits, so that a pending value is tried once more. */
+  private static final long MAX_RETRY_DELAY_MS = 500;
+
+  private static final long CLOSE_TIMEOUT_MS = 1000;
+
   private record PendingWrite(long number, Supplier<byte[]> value) {}
 
-  /** Receives the failures to write a value or to close the file. */
-  public interface FailureListener {
+  /** Receives the outcomes of writes, on the writer's thread. */
+  public interface Listener {
+    /**
+     * Called when a value, and so everything in the earlier ones, is on disk.
+     *
+     * @param number the number of the value
+     */
+    void onWritten(long number);
+
     /**
-     * Handles a failure.
+     * Called when a write has failed, which is repeated.
      *
      * @param reason the message of the error
+     * @param isFirst whether the write before it succeeded
      */
-    void onFailure(String reason);
+    void onFailure(String reason, boolean isFirst);
+
+    /**
+     * Called once when writes have failed for {@link #OUTAGE}, or can't succeed any more.
+     *
+     * @param reason the message of the last error
+     */
+    void onOutage(String reason);
   }
 
   private final AtomicFile file;
-  private final LongConsumer onWritten;
-  private final FailureListener failureListener;
+  private final Listener listener;
+  private final LongSupplier nanoTime;
   private final AtomicReference<PendingWrite> pending = new AtomicReference<>();
-  private final ExecutorService executor;
+  private final ScheduledExecutorService executor;
+
+  // Used on the writer's thread only.
+  private boolean isFailing;
+  private boolean isOutageReported;
+  private long failingSinceNs;
+  private long retryDelayMs;
 
   /**
-   * Creates a writer. Both listeners are called on the writer's thread, but failures to close the
-   * file are reported on the thread that calls {@link #close}.
+   * Creates a writer.
    *
    * @param file the file to write; it is closed with this writer
-   * @param onWritten receives the number of a value once the value is on disk
-   * @param failureListener receives the failures
    */
-  public BackgroundWriter(
-      AtomicFile file, LongConsumer onWritten, FailureListener failureListener) {
+  public BackgroundWriter(AtomicFile file, Listener listener) {
+    this(file, listener, System::nanoTime);
+  }
+
+  /**
+   * Creates a writer that measures the duration of an outage with the given clock.
+   *
+   * @param nanoTime a monotonic clock, in nanoseconds
+   */
+  BackgroundWriter(AtomicFile file, Listener listener, LongSupplier nanoTime) {
     this.file = file;
-    this.onWritten = onWritten;
-    this.failureListener = failureListener;
-    // One task runs and one waits. A third is discarded, since the waiting task writes its value.
+    this.listener = listener;
+    this.nanoTime = nanoTime;
     executor =
-        new ThreadPoolExecutor(
+        new ScheduledThreadPoolExecutor(
             1,
-            1,
-            0,
-            TimeUnit.SECONDS,
-            new ArrayBlockingQueue<>(1),
             task -> {
               Thread thread = new Thread(task, "store");
               thread.setDaemon(true);
@@ -68,35 +103,67 @@
    * @param value supplies the bytes to write, on the writer's thread
    */
   public void submit(long number, Supplier<byte[]> value) {
-    pending.set(new PendingWrite(number, value));
-    executor.execute(this::write);
+    boolean isTaskScheduled = pending.getAndSet(new PendingWrite(number, value)) != null;
+    if (!isTaskScheduled) {
+      executor.execute(this::write);
+    }
   }
 
   private void write() {
     PendingWrite write = pending.getAndSet(null);
-    if (write == null) {
-      return;
-    }
     try {
       file.write(write.value.get());
-      onWritten.accept(write.number);
-    } catch (java.io.IOException | RuntimeException e) {
-      failureListener.onFailure(String.valueOf(e.getMessage()));
+      isFailing = false;
+      isOutageReported = false;
+      listener.onWritten(write.number);
+    } catch (LockLostException e) {
+      reportOutage(e.getMessage());
+    } catch (IOException | RuntimeException e) {
+      onFailure(String.valueOf(e.getMessage()));
+      retry(write);
+    }
+  }
+
+  private void onFailure(String reason) {
+    boolean isFirst = !isFailing;
+    if (isFirst) {
+      isFailing = true;
+      failingSinceNs = nanoTime.getAsLong();
+      retryDelayMs = FIRST_RETRY_DELAY_MS;
+    }
+    listener.onFailure(reason, isFirst);
+    if (nanoTime.getAsLong() - failingSinceNs >= OUTAGE.toNanos()) {
+      reportOutage(reason);
+    }
+  }
+
+  private void reportOutage(String reason) {
+    if (!isOutageReported) {
+      isOutageReported = true;
+      listener.onOutage(reason);
+    }
+  }
+
+  /** Schedules another attempt, unless a newer value, which has a task of its own, is pending. */
+  private void retry(PendingWrite write) {
+    if (pending.compareAndSet(null, write)) {
+      executor.schedule(this::write, retryDelayMs, TimeUnit.MILLISECONDS);
+      retryDelayMs = Math.min(2 * retryDelayMs, MAX_RETRY_DELAY_MS);
     }
   }
 
   /**
    * Waits up to a second for the writes to finish and closes the file; a pending write may be lost.
+   *
+   * @throws IOException if the file can't be closed; the operating system releases its lock at the
+   *     latest when the process ends
    */
   @Override
-  public void close() {
+  public void close() throws IOException {
     executor.shutdown();
     try {
-      executor.awaitTermination(1, TimeUnit.SECONDS);
+      executor.awaitTermination(CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
       file.close();
-    } catch (java.io.IOException e) {
-      // The operating system releases the lock at the latest when the process ends.
-      failureListener.onFailure("can't close the file: " + e.getMessage());
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- a/src/test/java/cobaltseam/fleet/RealFleetTest.java
+++ b/src/test/java/cobaltseam/fleet/RealFleetTest.java
@@ -262,6 +262,53 @@
     }
   }
 
+  /** With the delays between retries, eight failed writes take over two seconds. */
+  private static void awaitFailedWrites(RealFleet fleet, int index, int count) throws Exception {
+    try (StatementClient client =
+        new StatementClient(new InetSocketAddress("127.0.0.1", fleet.port(index)), 10_000)) {
+      long failed = 0;
+      for (long from = System.nanoTime(); failed < count; ) {
+        assertTrue(System.nanoTime() - from < TIMEOUT_S * 1e9, failed + " failed writes");
+        Thread.sleep(20);
+        failed = Long.parseLong(client.show("counters").get("membership_writes_failed"));
+      }
+    }
+  }
+
+  /**
+   * Guards against an agreed version that no folder holds after all folders were full for a while.
+   */
+  @Test
+  void versionAgreedAfterFoldersWereFullIsKeptWhenAllMembersAreKilled() throws Exception {
+    int processes = 3;
+    try (RealFleet fleet =
+        new RealFleet(
+            RealFleetPlan.of(processes).withFolders().withAgreement(1000), List.of(), 9, folder)) {
+      fleet.startAll();
+      assertSettlesWithoutViolations(fleet);
+      awaitAllActOn(fleet, 1, 0, 1, 2);
+      String lineage = fleet.view(0).substring(0, fleet.view(0).indexOf('/'));
+      for (int index = 0; index < processes; index++) {
+        Files.createSymbolicLink(
+            fleet.stateFolder(index).resolve("seat.new"), Path.of("/dev/full"));
+      }
+      fleet.setMaxAttempts(1, 2);
+      awaitFailedWrites(fleet, 1, 8);
+      awaitShown(fleet, 1, "folder", "not written");
+      for (int index = 0; index < processes; index++) {
+        Files.delete(fleet.stateFolder(index).resolve("seat.new"));
+      }
+      awaitAllActOn(fleet, 2, 0, 1, 2);
+      assertTrue(fleet.view(0).startsWith(lineage + "/"), fleet.view(0));
+      for (int index = 0; index < processes; index++) {
+        fleet.kill(index);
+      }
+      fleet.startAll();
+      assertSettlesWithoutViolations(fleet);
+      awaitAllActOn(fleet, 2, 0, 1, 2);
+    }
+  }
+
   @Test
   void settingsProposedBySighupAreActivatedByAllWithoutContradiction() throws Exception {
     List<Fault> script =
--- a/src/test/java/cobaltseam/store/AtomicFileTest.java
+++ b/src/test/java/cobaltseam/store/AtomicFileTest.java
@@ -106,13 +106,23 @@
     try (BackgroundWriter writer =
         new BackgroundWriter(
             file,
-            number -> {
-              assertTrue(number > newest.getAndSet(number), "the numbers must rise");
-              if (number == 500) {
-                last.countDown();
+            new BackgroundWriter.Listener() {
+              @Override
+              public void onWritten(long number) {
+                assertTrue(number > newest.getAndSet(number), "the numbers must rise");
+                if (number == 500) {
+                  last.countDown();
+                }
               }
-            },
-            reason -> failed.countDown())) {
+
+              @Override
+              public void onFailure(String reason, boolean isFirst) {
+                failed.countDown();
+              }
+
+              @Override
+              public void onOutage(String reason) {}
+            })) {
       for (long n = 1; n <= 500; n++) {
         long number = n;
         writer.submit(n, () -> ByteBuffer.allocate(8).putLong(number).array());
