Use a state folder again once it can be written after an outage

Cause: nothing tried the folder again after folder_lost.

Change: StatePersistence has an outage in place of an end. The last write is repeated all the while; no newer state is written during the outage, since messages that depend on later ones are sent at once then. When the last write succeeds, everything is withheld again and the present state is written first.

An outage of 30 s was not played with processes.

--- a/src/main/java/cobaltseam/membership/Membership.java
+++ b/src/main/java/cobaltseam/membership/Membership.java
@@ -235,23 +235,31 @@
 
   /**
    * Processes the report that the state with this number, and all earlier ones, have been written.
+   * After {@link #onStateWriteFailed} the state folder is used again from then on.
    *
-   * @return the actions that were withheld for them
+   * @return the actions that were withheld for them, and the write of the present state if the
+   *     folder is used again
    */
   public List<MembershipAction> onStateWritten(long number) {
+    if (persistence.endOutage()) {
+      actions.recordEvent(
+          MembershipEvent.FOLDER_RESTORED, self().name(), "the state folder can be written again");
+      return finish();
+    }
     return persistence.onWritten(number);
   }
 
   /**
-   * Processes the report that the state cannot be written. Messages that were withheld for the
-   * write have not been sent, so the state folder covers all messages that this member has sent.
-   * The process continues without a state folder, in a higher incarnation.
+   * Processes the report that the state could not be written for long. Messages that were withheld
+   * for the write have not been sent, so the state folder covers all messages that this member has
+   * sent. The process continues without the state folder, in a higher incarnation, until the caller
+   * reports that the last write has succeeded after all.
    *
    * @param cause the cause, for the log
    */
   public List<MembershipAction> onStateWriteFailed(String cause, Timestamp now) {
     if (persistence.isEnabled()) {
-      persistence.disable();
+      persistence.beginOutage();
       actions.recordEvent(MembershipEvent.FOLDER_LOST, self().name(), cause);
       detector.startNewIncarnation();
       if (localView.hasView()) {
--- a/src/main/java/cobaltseam/membership/MembershipAction.java
+++ b/src/main/java/cobaltseam/membership/MembershipAction.java
@@ -9,8 +9,8 @@
 
   /**
    * Write a state to the state folder, then call {@link Membership#onStateWritten} with its number,
-   * or {@link Membership#onStateWriteFailed} if it cannot be written. A later state replaces all
-   * earlier ones.
+   * or {@link Membership#onStateWriteFailed} if it cannot be written for long; the write is
+   * repeated all the while. A later state replaces all earlier ones.
    */
   record Persist(long number, PersistentState state) implements MembershipAction {}
 
@@ -52,8 +52,10 @@
     LINE_ENDED,
     /** The state folder may be an old copy: peers report a later state of this member. */
     FOLDER_OLD,
-    /** The state folder cannot be written any more. */
+    /** The state folder could not be written for long and is not used for now. */
     FOLDER_LOST,
+    /** The state folder can be written again and is used again. */
+    FOLDER_RESTORED,
     /** This process began a new lineage in a re-bootstrap. */
     FOUNDED_ANEW,
     /** A re-bootstrap was rejected. */
--- a/src/main/java/cobaltseam/membership/StatePersistence.java
+++ b/src/main/java/cobaltseam/membership/StatePersistence.java
@@ -12,6 +12,11 @@
  * Requests that changed state is written to the state folder, and withholds the messages and view
  * installations that depend on the state until it has been written. The conditions of members are
  * not persisted.
+ *
+ * <p>During an outage of the folder nothing is withheld and no new state is written: if a state
+ * were written then, messages that depend on a later one might have been sent. The caller goes on
+ * with the last write; once that succeeds, the outage is over, and the state as it is then is
+ * written first.
  */
 final class StatePersistence {
   /** The maximum number of withheld messages; further ones are dropped, as any datagram may be. */
@@ -27,7 +32,8 @@
   private final ActionBuffer actions;
   private final long starts;
   private final Deque<WithheldAction> withheld = new ArrayDeque<>();
-  private boolean isEnabled;
+  private final boolean hasFolder;
+  private boolean isInOutage;
   private PersistentState latest;
   private long latestNumber;
   private long writtenNumber;
@@ -50,12 +56,12 @@
     this.bootstrap = bootstrap;
     this.actions = actions;
     this.starts = starts;
-    isEnabled = starts > 0;
+    hasFolder = starts > 0;
   }
 
   /** Whether the state is persisted, so that promises remain valid after this process ends. */
   boolean isEnabled() {
-    return isEnabled;
+    return hasFolder && !isInOutage;
   }
 
   /**
@@ -72,7 +78,7 @@
    * depend on state that is not written yet.
    */
   void update() {
-    if (!isEnabled) {
+    if (!isEnabled()) {
       return;
     }
     boolean isChanged = !isCurrent(latest);
@@ -168,11 +174,22 @@
   }
 
   /**
-   * Continues without a state folder. The withheld actions are dropped, so that no member relies on
-   * state that was not written.
+   * Continues without the state folder until {@link #endOutage}. The withheld actions are dropped,
+   * so that no member relies on state that was not written.
    */
-  void disable() {
-    isEnabled = false;
+  void beginOutage() {
+    isInOutage = true;
     withheld.clear();
   }
+
+  /**
+   * Uses the state folder again, since it can be written.
+   *
+   * @return whether there was an outage
+   */
+  boolean endOutage() {
+    boolean hasEnded = isInOutage;
+    isInOutage = false;
+    return hasEnded;
+  }
 }
--- a/src/test/java/cobaltseam/membership/MembershipTest.java
+++ b/src/test/java/cobaltseam/membership/MembershipTest.java
@@ -176,4 +176,76 @@
     assertEquals(first.view(), second.view());
     assertFalse(isRecorded(MembershipAction.MembershipEvent.SUSPECTED));
   }
+
+  private static MembershipAction.Persist lastWrite(List<MembershipAction> actions) {
+    return actions.stream()
+        .filter(MembershipAction.Persist.class::isInstance)
+        .map(MembershipAction.Persist.class::cast)
+        .reduce((earlier, later) -> later)
+        .orElse(null);
+  }
+
+  private static boolean installsView(List<MembershipAction> actions) {
+    return actions.stream().anyMatch(MembershipAction.ViewInstalled.class::isInstance);
+  }
+
+  /** Runs a single bootstrap member until it requests a write, and returns that. */
+  private MembershipAction.Persist advanceToWrite(Membership member) {
+    for (int i = 0; i < 1000; i++) {
+      now = now.plus(PERIOD.times(0.125));
+      List<MembershipAction> actions = member.onTimer(now);
+      assertFalse(installsView(actions), "a view was installed before it was written");
+      if (lastWrite(actions) != null) {
+        return lastWrite(actions);
+      }
+    }
+    throw new AssertionError("no write was requested");
+  }
+
+  private Membership startMemberWithFolder() {
+    MembershipOptions options =
+        new MembershipOptions(
+            PERIOD, 2, 3, List.of(new MemberName("a")), List.of(), new TimeSpan(3_000_000));
+    Member self = new Member(new MemberName("a"), new Incarnation(1), address(1));
+    return Membership.withFolder(options, self, null, new SplittableRandom(1));
+  }
+
+  /**
+   * Guards against a member that stores nothing any more, though its folder can be written again.
+   */
+  @Test
+  void stateIsWrittenAgainOnceTheOutageOfTheFolderEnds() {
+    Membership member = startMemberWithFolder();
+    MembershipAction.Persist first = lastWrite(member.start(now));
+    member.onStateWritten(first.number());
+    MembershipAction.Persist failed = advanceToWrite(member);
+    List<MembershipAction> atOutage = member.onStateWriteFailed("full", now);
+    assertNull(lastWrite(atOutage), "a state that is outdated at once must not be written");
+    assertFalse(member.isPersistent());
+
+    List<MembershipAction> atRecovery = member.onStateWritten(failed.number());
+    assertTrue(member.isPersistent());
+    MembershipAction.Persist current = lastWrite(atRecovery);
+    assertEquals(member.self(), current.state().self());
+    assertTrue(current.number() > failed.number());
+  }
+
+  /** Guards against messages that depend on a state which is only about to be written. */
+  @Test
+  void viewIsInstalledOnceItIsWrittenAfterAnOutageOfTheFolder() {
+    Membership member = startMemberWithFolder();
+    MembershipAction.Persist first = lastWrite(member.start(now));
+    member.onStateWriteFailed("full", now);
+    MembershipAction.Persist current = lastWrite(member.onStateWritten(first.number()));
+    MembershipAction.Persist newer = advanceToWrite(member);
+    assertTrue(newer.number() > current.number());
+    List<MembershipAction> actions = List.of();
+    for (MembershipAction.Persist write = newer; !installsView(actions); ) {
+      actions = member.onStateWritten(write.number());
+      if (!installsView(actions)) {
+        write = advanceToWrite(member);
+      }
+    }
+    assertTrue(member.view().contains(member.self().name(), member.self().incarnation()));
+  }
 }
