Draw full state folders in the fleets of virtual time

Fault scripts know full_folder (in virtual time only): writes are repeated and reported as an outage after 30 s, as the service's writer does.

--- a/src/main/java/cobaltseam/fleet/Fault.java
+++ b/src/main/java/cobaltseam/fleet/Fault.java
@@ -86,7 +86,9 @@
      * These processes are killed and restarted at the end; their persistent state, if any, is
      * replaced by a copy taken at half the start time of this fault.
      */
-    STALE;
+    STALE,
+    /** The state of these processes can't be written; in virtual time only. */
+    FULL_FOLDER;
 
     /** Whether processes end by this fault. */
     boolean endsProcess() {
@@ -193,6 +195,26 @@
     return persistentFaults;
   }
 
+  /**
+   * Adds a random time in which the folders of all processes, or of some, are full, to a script of
+   * this many seconds.
+   */
+  public static List<Fault> withFullFolders(
+      List<Fault> faults, int processes, double seconds, long seed) {
+    SplittableRandom random = new SplittableRandom(-seed);
+    int count = random.nextBoolean() ? processes : 1 + random.nextInt(processes);
+    int first = random.nextInt(processes);
+    List<Integer> affected = new ArrayList<>();
+    for (int p = 0; p < count; p++) {
+      affected.add((first + p) % processes);
+    }
+    double startS = random.nextDouble(0.2, 0.7) * seconds;
+    double durationS = random.nextDouble(0.02, 1) * seconds;
+    List<Fault> extended = new ArrayList<>(faults);
+    extended.add(new Fault(Kind.FULL_FOLDER, startS, durationS, affected, List.of(), 1));
+    return extended;
+  }
+
   /**
    * Generates random faults, which may overlap and some of which affect several neighbouring
    * processes like the failure of a rack. The same seed generates the same faults.
--- a/src/main/java/cobaltseam/fleet/VirtualFleet.java
+++ b/src/main/java/cobaltseam/fleet/VirtualFleet.java
@@ -21,6 +21,7 @@
 import cobaltseam.membership.ViewId;
 import cobaltseam.sharing.MemberFigures;
 import cobaltseam.sharing.StateGossip;
+import cobaltseam.store.BackgroundWriter;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
@@ -121,6 +122,9 @@
     /** The write in progress, or null. */
     MembershipAction.Persist pendingWrite;
 
+    /** Since when writes have failed, infinite once that was reported as an outage; else NaN. */
+    double failingSinceS = Double.NaN;
+
     /** The messages that arrived while the process was suspended. */
     final Deque<PeerMessage> unread = new ArrayDeque<>();
   }
@@ -153,6 +157,7 @@
   private static final long FAULT_EVENT = -1;
   private static final long COPY_STATE_EVENT = -2;
   private static final double MAX_WRITE_S = 0.02;
+  private static final double WRITE_RETRY_S = 0.5;
   private static final int MAX_UNREAD_MESSAGES = 4096;
   private final Plan plan;
   private final List<Fault> faults;
@@ -325,12 +330,51 @@
     now = until;
   }
 
+  private boolean isFolderFull(int index) {
+    return faults.stream()
+        .anyMatch(
+            fault ->
+                fault.kind() == Fault.Kind.FULL_FOLDER
+                    && fault.processes().contains(index)
+                    && now >= fault.atS()
+                    && now < fault.endS());
+  }
+
+  /** Repeats a write that fails, and reports an outage as the writer of the service does. */
+  private void retryWrite(Process process, Event event) {
+    boolean isCurrent =
+        process.isAlive
+            && event.startNumber == process.startNumber
+            && process.pendingWrite == event.persist;
+    if (!isCurrent) {
+      return;
+    }
+    if (Double.isNaN(process.failingSinceS)) {
+      process.failingSinceS = now;
+    }
+    if (now - process.failingSinceS >= BackgroundWriter.OUTAGE.toSeconds()
+        && !isSuspended(event.process)) {
+      process.failingSinceS = Double.POSITIVE_INFINITY;
+      process.coordinator.persistFailed("full", clockTime(event.process));
+    }
+    events.add(
+        new Event(
+            now + WRITE_RETRY_S,
+            nextSequence++,
+            event.process,
+            event.startNumber,
+            null,
+            event.persist));
+  }
+
   private void play(Event event) {
     Process process = processes[event.process];
     if (event.startNumber == FAULT_EVENT) {
       injectFault(event.process);
     } else if (event.startNumber == COPY_STATE_EVENT) {
       process.earlierState = process.persistentState;
+    } else if (event.persist != null && isFolderFull(event.process)) {
+      retryWrite(process, event);
     } else if (event.persist != null) {
       if (process.isAlive && isSuspended(event.process)) {
         // The disk completes writes during a suspension; the process learns of it afterwards.
@@ -347,6 +391,7 @@
           && process.pendingWrite == event.persist) {
         process.persistentState = event.persist.state();
         process.pendingWrite = null;
+        process.failingSinceS = Double.NaN;
         process.coordinator.persisted(event.persist.number(), clockTime(event.process));
         scheduleWake(event.process);
       }
@@ -505,6 +550,7 @@
           process.persistentState = process.pendingWrite.state();
         }
         process.pendingWrite = null;
+        process.failingSinceS = Double.NaN;
         process.resumesAsSameMember =
             plan.withPersistence
                 && process.persistentState != null
--- a/src/test/java/cobaltseam/fleet/AgreementFleetTest.java
+++ b/src/test/java/cobaltseam/fleet/AgreementFleetTest.java
@@ -170,6 +170,16 @@
     }
   }
 
+  @Test
+  void randomScriptsWithFullFoldersViolateNoInvariant() {
+    for (long seed = 2_000; seed < 2_060; seed++) {
+      List<Fault> faults = Fault.withFullFolders(Fault.generate(4, 60, 4, seed), 4, 60, seed);
+      FleetAgreementCommand.RunResult result =
+          FleetAgreementCommand.play(VirtualFleet.Plan.of(4).withFolders(), faults, 110, 3, seed);
+      assertEquals(List.of(), result.violations(), "seed " + seed);
+    }
+  }
+
   @Test
   void excessiveClockDriftAndMissingLeaseWaitAreDetected() {
     // Two mutants: clocks at 0.5 to 1.5 times the rate under a stated bound of 0.1%, and no wait
--- a/src/test/java/cobaltseam/fleet/VirtualFleetTest.java
+++ b/src/test/java/cobaltseam/fleet/VirtualFleetTest.java
@@ -373,6 +373,19 @@
     }
   }
 
+  /** Guards against broken promises of members whose folders are full for up to a minute. */
+  @Test
+  void randomScriptsWithFullFoldersViolateNoInvariant() {
+    for (long seed = 310_000; seed < 310_060; seed++) {
+      List<Fault> script =
+          Fault.withFullFolders(
+              Fault.withFolders(Fault.generate(5, 60, 5, seed), false, seed), 5, 60, seed);
+      RunVerdict verdict =
+          FleetRunner.playVirtual(VirtualFleet.Plan.of(5).withFolders(), script, 110, seed);
+      assertFalse(verdict.isFailed(), "seed " + seed + ": " + verdict.violations());
+    }
+  }
+
   @Test
   void twoLineagesMergeAfterAllBootstrapMembersLostTheirState() {
     // The three bootstrap members restart without state, partitioned from the five that have their
