--- a/src/main/java/cobaltseam/fleet/VirtualFleet.java
+++ b/src/main/java/cobaltseam/fleet/VirtualFleet.java
@@ -15,13 +15,11 @@
 import cobaltseam.membership.MembershipAction;
 import cobaltseam.membership.MembershipOptions;
 import cobaltseam.membership.PeerMessage;
-import cobaltseam.membership.PersistentState;
 import cobaltseam.membership.QuorumState;
 import cobaltseam.membership.View;
 import cobaltseam.membership.ViewId;
 import cobaltseam.sharing.MemberFigures;
 import cobaltseam.sharing.StateGossip;
-import cobaltseam.store.BackgroundWriter;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
@@ -113,17 +111,7 @@
 
     double wakeAtS = Double.MAX_VALUE;
 
-    /** The state that is stored in the folder of the process. */
-    PersistentState persistentState;
-
-    /** The copy of the persistent state that a {@link Fault.Kind#STALE} fault brings back. */
-    PersistentState earlierState;
-
-    /** The write in progress, or null. */
-    MembershipAction.Persist pendingWrite;
-
-    /** Since when writes have failed, infinite once that was reported as an outage; else NaN. */
-    double failingSinceS = Double.NaN;
+    final VirtualStateFolder folder = new VirtualStateFolder();
 
     /** The messages that arrived while the process was suspended. */
     final Deque<PeerMessage> unread = new ArrayDeque<>();
@@ -340,31 +328,36 @@
                     && now < fault.endS());
   }
 
-  /** Repeats a write that fails, and reports an outage as the writer of the service does. */
-  private void retryWrite(Process process, Event event) {
+  /** Ends a write of a process: it fails and is repeated, or the process learns of its success. */
+  private void playWrite(Process process, Event event) {
     boolean isCurrent =
         process.isAlive
             && event.startNumber == process.startNumber
-            && process.pendingWrite == event.persist;
+            && process.folder.isPending(event.persist);
     if (!isCurrent) {
       return;
     }
-    if (Double.isNaN(process.failingSinceS)) {
-      process.failingSinceS = now;
-    }
-    if (now - process.failingSinceS >= BackgroundWriter.OUTAGE.toSeconds()
-        && !isSuspended(event.process)) {
-      process.failingSinceS = Double.POSITIVE_INFINITY;
-      process.coordinator.persistFailed("full", clockTime(event.process));
+    if (isFolderFull(event.process)) {
+      process.folder.fail(now);
+      if (process.folder.isOutageDue(now) && !isSuspended(event.process)) {
+        process.folder.setOutageReported();
+        process.coordinator.persistFailed("full", clockTime(event.process));
+        scheduleWake(event.process);
+      }
+      scheduleWrite(WRITE_RETRY_S, event.process, event.startNumber, event.persist);
+    } else if (isSuspended(event.process)) {
+      // The disk completes writes during a suspension; the process learns of it afterwards.
+      scheduleWrite(MAX_WRITE_S, event.process, event.startNumber, event.persist);
+    } else {
+      process.folder.complete();
+      process.coordinator.persisted(event.persist.number(), clockTime(event.process));
+      scheduleWake(event.process);
     }
-    events.add(
-        new Event(
-            now + WRITE_RETRY_S,
-            nextSequence++,
-            event.process,
-            event.startNumber,
-            null,
-            event.persist));
+  }
+
+  private void scheduleWrite(
+      double delayS, int index, long startNumber, MembershipAction.Persist write) {
+    events.add(new Event(now + delayS, nextSequence++, index, startNumber, null, write));
   }
 
   private void play(Event event) {
@@ -372,29 +365,9 @@
     if (event.startNumber == FAULT_EVENT) {
       injectFault(event.process);
     } else if (event.startNumber == COPY_STATE_EVENT) {
-      process.earlierState = process.persistentState;
-    } else if (event.persist != null && isFolderFull(event.process)) {
-      retryWrite(process, event);
+      process.folder.saveCopy();
     } else if (event.persist != null) {
-      if (process.isAlive && isSuspended(event.process)) {
-        // The disk completes writes during a suspension; the process learns of it afterwards.
-        events.add(
-            new Event(
-                now + MAX_WRITE_S,
-                nextSequence++,
-                event.process,
-                event.startNumber,
-                null,
-                event.persist));
-      } else if (process.isAlive
-          && event.startNumber == process.startNumber
-          && process.pendingWrite == event.persist) {
-        process.persistentState = event.persist.state();
-        process.pendingWrite = null;
-        process.failingSinceS = Double.NaN;
-        process.coordinator.persisted(event.persist.number(), clockTime(event.process));
-        scheduleWake(event.process);
-      }
+      playWrite(process, event);
     } else if (event.message != null) {
       if (!process.isAlive || event.startNumber != process.startNumber) {
         // Sent to an earlier process: the one that has its address now receives it.
@@ -484,7 +457,7 @@
     Member self = new Member(name(index), new Incarnation(++incarnations), addresses.get(index));
     process.membership =
         plan.withPersistence
-            ? Membership.withFolder(options, self, process.persistentState, random.split())
+            ? Membership.withFolder(options, self, process.folder.stored(), random.split())
             : new Membership(options, self, random.split());
     recordedEvents.add(
         new RecordedEvent(
@@ -526,8 +499,8 @@
         new ConfigurationAgreement(
             agreementOptions, process.membership, lease, TEXT_DOCUMENTS, random.split());
     process.agreement.setOwnDocument("first".getBytes(StandardCharsets.UTF_8));
-    if (process.persistentState != null) {
-      process.persistentState.documents().forEach(process.agreement::addPersistedDocument);
+    if (process.folder.stored() != null) {
+      process.folder.stored().documents().forEach(process.agreement::addPersistedDocument);
     }
     recordActivation(index, null);
   }
@@ -546,19 +519,19 @@
         }
         process.isAlive = false;
         recordActivation(index, null);
-        if (process.pendingWrite != null && random.nextBoolean()) {
-          process.persistentState = process.pendingWrite.state();
+        if (process.folder.hasPending() && random.nextBoolean()) {
+          process.folder.complete();
         }
-        process.pendingWrite = null;
-        process.failingSinceS = Double.NaN;
+        process.folder.abandon();
         process.resumesAsSameMember =
             plan.withPersistence
-                && process.persistentState != null
+                && process.folder.stored() != null
                 && (fault.kind() == Fault.Kind.KILL || fault.kind() == Fault.Kind.TERM);
-        process.persistentState =
-            fault.kind() == Fault.Kind.LOSE
-                ? null
-                : fault.kind() == Fault.Kind.STALE ? process.earlierState : process.persistentState;
+        if (fault.kind() == Fault.Kind.LOSE) {
+          process.folder.clear();
+        } else if (fault.kind() == Fault.Kind.STALE) {
+          process.folder.restoreCopy();
+        }
         newestViews.values().forEach(this::updateLostMajority);
       } else if (fault.kind() == Fault.Kind.GONE
           && fault.processes().contains(index)
@@ -649,15 +622,8 @@
       @Override
       public void handleMembership(MembershipAction action) {
         if (action instanceof MembershipAction.Persist persist) {
-          process.pendingWrite = persist;
-          events.add(
-              new Event(
-                  now + MAX_WRITE_S * random.nextDouble(),
-                  nextSequence++,
-                  index,
-                  startNumber,
-                  null,
-                  persist));
+          process.folder.submit(persist);
+          scheduleWrite(MAX_WRITE_S * random.nextDouble(), index, startNumber, persist);
         } else if (action instanceof MembershipAction.ViewInstalled installed) {
           recordView(index, installed.view());
           View view = installed.view();
