Draw the secrets of cancel requests from SecureRandom

Cause: secrets were drawn from the seed in the configuration, and sessions are numbered from the start, so that a connection of each process had the key of the same one before. Who knew the seed could compute all keys.

--- a/src/main/java/cobaltseam/service/DispatcherService.java
+++ b/src/main/java/cobaltseam/service/DispatcherService.java
@@ -12,9 +12,9 @@
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.Map;
-import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -128,14 +128,7 @@
             attemptLog);
     clients =
         new ClientSessions(
-            configuration,
-            requests,
-            new SplittableRandom(~configuration.seed()),
-            processor,
-            inbox,
-            clock,
-            timers,
-            counters);
+            configuration, requests, new SecureRandom(), processor, inbox, clock, timers, counters);
     endpointWatch =
         new EndpointWatch(
             configuration,
