Let an error in the writer of the state folder end the process again

Found by reading: its scheduled executor keeps an Error of a task, such as a heap that is used up, to itself. The member would store nothing and wait for that write, without a sign.

Measured: BackgroundWriterTest.errorReachesTheUncaughtExceptionHandler fails without the change (no outcome in 60 s), and passes with it; 12 tests of the package, none failed.

--- a/src/main/java/cobaltseam/store/BackgroundWriter.java
+++ b/src/main/java/cobaltseam/store/BackgroundWriter.java
@@ -105,7 +105,17 @@
   public void submit(long number, Supplier<byte[]> value) {
     boolean isTaskScheduled = pending.getAndSet(new PendingWrite(number, value)) != null;
     if (!isTaskScheduled) {
-      executor.execute(this::write);
+      executor.execute(this::runWrite);
+    }
+  }
+
+  /** Writes the pending value. The executor would keep an error to itself. */
+  private void runWrite() {
+    try {
+      write();
+    } catch (Error e) {
+      Thread thread = Thread.currentThread();
+      thread.getUncaughtExceptionHandler().uncaughtException(thread, e);
     }
   }
 
@@ -147,7 +157,7 @@
   /** Schedules another attempt, unless a newer value, which has a task of its own, is pending. */
   private void retry(PendingWrite write) {
     if (pending.compareAndSet(null, write)) {
-      executor.schedule(this::write, retryDelayMs, TimeUnit.MILLISECONDS);
+      executor.schedule(this::runWrite, retryDelayMs, TimeUnit.MILLISECONDS);
       retryDelayMs = Math.min(2 * retryDelayMs, MAX_RETRY_DELAY_MS);
     }
   }
--- a/src/test/java/cobaltseam/store/BackgroundWriterTest.java
+++ b/src/test/java/cobaltseam/store/BackgroundWriterTest.java
@@ -134,4 +134,21 @@
       other.close();
     }
   }
+
+  /** Guards against an error of the virtual machine that ends storing without a sign. */
+  @Test
+  void errorReachesTheUncaughtExceptionHandler() throws Exception {
+    Thread.UncaughtExceptionHandler former = Thread.getDefaultUncaughtExceptionHandler();
+    Thread.setDefaultUncaughtExceptionHandler((thread, error) -> outcomes.add(error.getMessage()));
+    try (BackgroundWriter writer = new BackgroundWriter(openFile(), listener, nanoTime::get)) {
+      writer.submit(
+          1,
+          () -> {
+            throw new OutOfMemoryError("heap");
+          });
+      assertEquals("heap", nextOutcome());
+    } finally {
+      Thread.setDefaultUncaughtExceptionHandler(former);
+    }
+  }
 }
